--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,16 @@
+// Command benchlink hosts fronts for the simulator: its wire on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"tealledge/internal/simwire"
+)
+
+func main() {
+	if err := simwire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/simwire/host.go
@@ -0,0 +1,70 @@
+package simwire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"tealledge/policy"
+)
+
+// Serve hosts the fronts that the input starts, until it ends. Fronts share nothing.
+func Serve(in io.Reader, out io.Writer) error {
+	dec := NewDecoder(bufio.NewReaderSize(in, 1<<16))
+	w := bufio.NewWriterSize(out, 1<<16)
+	fronts := map[uint32]*policy.Front{}
+	for {
+		batch, err := dec.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		var reply Reply
+		for _, h := range batch.Events {
+			if err := handle(fronts, batch.Now, h, &reply); err != nil {
+				return err
+			}
+		}
+		if _, err := reply.WriteTo(w); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// handle passes one event to its front. A panic there becomes a fault on the wire.
+func handle(fronts map[uint32]*policy.Front, now policy.Time, h Heard, reply *Reply) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			reply.Fault(h.Front, fmt.Sprint("the decision module failed: ", p))
+		}
+	}()
+	switch ev := h.Event.(type) {
+	case Start:
+		settings, bad := ParseSettings(ev.Settings)
+		for _, text := range bad {
+			if err := reply.Add(h.Front, policy.Log{Text: "settings: " + text}); err != nil {
+				return err
+			}
+		}
+		fronts[h.Front] = policy.New(settings, ev.Seed)
+		return nil
+	case Stop:
+		delete(fronts, h.Front)
+		return nil
+	}
+	front := fronts[h.Front]
+	if front == nil {
+		return nil
+	}
+	for _, a := range front.Handle(now, h.Event) {
+		if err := reply.Add(h.Front, a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,775 @@
+// The decision module. Its interface (settings, events, actions) is policy/api.go; records and
+// counters without judgement are policy/state.go. The mechanism is HyperEdge's device selection
+// (section 4.2.3) as the design page gives it: filter, rank, fallback list, rung rule, moves.
+package policy
+
+import (
+	"math"
+	"math/rand"
+	"sort"
+)
+
+// Tuned values, each with its reason.
+const (
+	mark        = 0.88               // use that a set-up may bring a link to; the rest is spare for wandering rates
+	listLen     = 20                 // holders on the fallback list (the paper's K)
+	tallyWindow = 10 * Second        // how long failures count in the ranking
+	tallyWeight = 0.1                // use that one failure counts for in the ranking
+	holdSpan    = 300 * Millisecond  // a request without a holder waits so long for room
+	tick        = 100 * Millisecond  // housekeeping
+	slowTick    = 10                 // ticks between raises
+	reportLag   = 400 * Millisecond  // a report is about this old when it comes
+	keepChanges = 5 * Second         // own changes remembered, longer than any note is late
+	staleHalf   = 8 * Second         // a report counts half after this
+	blend       = 0.5                // weight of a new report against a fresh estimate: reports are noisy
+	blendWithin = 4 * Second         // an estimate is fresh so long
+	tryShare    = 0.42               // part of the aim that one attempt may take, so that two fit
+	lastTry     = 20 * Millisecond   // no attempt is begun with less time left
+	askAgain    = 1 * Second         // a failed call for the server list is made again after this
+	backoffMin  = 1 * Second         // breaker: first pause
+	backoffMax  = 8 * Second         // breaker: longest pause
+	hungShare   = 0.1                // a share under this is a server that stands still
+	errorsTrip  = 2                  // errors in the window that open the breaker, if not outnumbered
+	paceMargin  = 0.5                // part of the pushing-over pace that all fronts together may use
+	shortNote   = 0.97               // a share under this calls for lower rungs
+	shedTarget  = 0.95               // use that lowering aims for
+	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
+	moveShare   = 0.9                // the design's share under which sessions move
+	moveNotes   = 2                  // and the notes it takes
+	movesPerS   = 0.5                // front-wide pace of moves
+	movesBurst  = 2
+	raiseGap    = 0.1         // spare under the mark that a raise needs
+	raiseCalm   = 6 * Second  // no short note for so long before a raise
+	restRung    = 8 * Second  // a session's rung rests so long between changes
+	remains     = 20 * Second // a session is taken to last so long yet, without a hint
+	swapGain    = 1.25        // a newcomer's gain must be so many times an early session's loss
+	swapMost    = 3           // early sessions lowered for one newcomer
+	probeEach   = 0.6         // probes earned by each request taken
+	probeStale  = 2 * Second  // a report older than this is worth a probe
+	pastMost    = 1000        // moved viewers remembered
+	overBurst   = 4.0         // seconds of a tenant's share it may use at once
+)
+
+// Tokens of the timers.
+const (
+	tokenTick uint32 = iota // housekeeping
+	tokenHeld               // a held request's time is up
+	tokenAsk                // the server list is to be asked for again
+)
+
+// New makes a front.
+func New(set Settings, seed uint64) *Front {
+	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{}, born: -1,
+		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}, probes: 3}
+	f.moves.tokens = movesBurst
+	for i := 0; i < max(set.Racks, 1); i++ {
+		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1)}})
+	}
+	for _, t := range set.Tenants {
+		f.tenants = append(f.tenants, bucket{tokens: t.PerSecond * overBurst / float64(max(set.Fleet, 1))})
+	}
+	return f
+}
+
+// Handle takes an event and gives the actions that follow from it. Events about what this front
+// does not hold are ignored.
+func (f *Front) Handle(now Time, event Event) []Action {
+	f.now, f.out = now, nil
+	if f.born < 0 {
+		f.born, f.moves.at = now, now
+		for i := range f.tenants {
+			f.tenants[i].at = now
+		}
+		f.do(Timer{tokenTick, tick})
+		if f.set.AskList {
+			f.do(Follow{})
+		}
+	}
+	switch e := event.(type) {
+	case List:
+		f.list(e)
+	case Request:
+		f.request(e.Ask)
+	case Handed:
+		f.handed(e)
+	case Playing:
+		f.started(e)
+	case Note:
+		f.note(e)
+	case Outcome:
+		f.outcome(e)
+	case Gone:
+		f.gone(e.ID)
+	case Probed:
+		if v := f.fleet.get(e.Server); v != nil {
+			v.probing = false
+			f.report(v, e.Report)
+		}
+	case Alarm:
+		switch e.Token {
+		case tokenTick:
+			f.alarm()
+		case tokenHeld:
+			f.retryHeld()
+		case tokenAsk:
+			f.do(Follow{})
+		}
+	}
+	return f.out
+}
+
+// ---- The server list ----
+
+func (f *Front) list(l List) {
+	if l.Kind == ListFailed {
+		f.do(Timer{tokenAsk, askAgain}) // an old list is better than none, but not for long
+		return
+	}
+	if l.Kind != ListDelta {
+		for _, v := range f.fleet.order {
+			v.listed = false
+		}
+	}
+	for _, e := range l.Entries {
+		v := f.fleet.get(e.Server)
+		if v == nil {
+			v = &server{}
+			v.Entry = e
+			f.fleet.add(v)
+		} else if e.Started > v.Started {
+			// A new process: what was known of the old one says nothing of it.
+			v.link.told, v.openUntil, v.backoff, v.failed = false, 0, 0, false
+			v.pace = bucket{at: f.now}
+		}
+		v.Entry, v.listed = e, e.Health == Ready
+		if f.set.ColdSpan > 0 && e.Started > 0 && e.Started+f.set.ColdSpan > f.now {
+			v.coldUntil = max(v.coldUntil, e.Started+f.set.ColdSpan)
+		}
+		v.rack = f.racks[e.Cell%len(f.racks)]
+		size := e.Size
+		if size <= 0 {
+			size = 1
+		}
+		v.link.cap = max(size*f.set.WeightKB, 1)
+	}
+}
+
+// ---- Estimated use ----
+
+// report books the load values that a server sent.
+func (f *Front) report(v *server, values []float64) {
+	for i, x := range values {
+		if i >= len(f.set.Fields) {
+			break
+		}
+		switch f.set.Fields[i] {
+		case FieldLink:
+			f.told(&v.link, x, reportLag)
+		case FieldUtil:
+			// Stops at 1: while notes tell of a short link it says nothing new.
+			if x < 0.99 || f.now-v.shortAt > 2*Second {
+				f.told(&v.link, x, reportLag)
+			}
+		case FieldUplink:
+			f.told(&v.rack.meter, x, reportLag)
+		}
+	}
+}
+
+// told books a use measured a while ago. Noise is damped by blending it with a fresh estimate.
+func (f *Front) told(m *meter, use float64, age Time) {
+	at := f.now - age
+	if m.told && at-m.useAt < blendWithin {
+		now := m.use + (m.ownAt(at)-m.useOwn)/m.cap
+		use = blend*use + (1-blend)*max(now, 0)
+	}
+	m.use, m.useOwn, m.useAt, m.told = use, m.ownAt(at), max(at, m.useAt), true
+}
+
+// others is the use of a meter that is not this front's own: the last report less the own part then.
+// As it ages it gives way to the fleet's average, which also stands for servers not yet heard from.
+func (f *Front) others(m *meter) float64 {
+	avg := m.own / m.cap * float64(f.set.Fleet-1)
+	if !m.told {
+		return avg
+	}
+	w := math.Exp2(-float64(f.now-m.useAt) / float64(staleHalf))
+	return w*max(m.use-m.useOwn/m.cap, 0) + (1-w)*avg
+}
+
+// load is the estimated use of a meter with kb more.
+func (f *Front) load(m *meter, kb float64) float64 { return f.others(m) + (m.own+kb)/m.cap }
+
+// warmth is the part of its link that a server just started gives, at the least.
+func (f *Front) warmth(v *server) float64 {
+	if f.now >= v.coldUntil || f.set.ColdSpan <= 0 {
+		return 1
+	}
+	done := 1 - float64(v.coldUntil-f.now)/float64(f.set.ColdSpan)
+	return f.set.ColdFrom + (1-f.set.ColdFrom)*max(done, 0)
+}
+
+// fits tells whether kb more keep link and uplink under a limit.
+func (f *Front) fits(v *server, kb, limit float64) bool {
+	return f.load(&v.link, kb) <= limit*f.warmth(v) && f.load(&v.rack.meter, kb) <= limit
+}
+
+// busy is the fuller of link and uplink.
+func (f *Front) busy(v *server) float64 {
+	return max(f.load(&v.link, 0)/f.warmth(v), f.load(&v.rack.meter, 0))
+}
+
+// ---- Sessions come and go ----
+
+func (f *Front) request(a Ask) {
+	if f.byID[a.ID] != nil {
+		return
+	}
+	if !f.usable(&a) {
+		f.do(Refuse{ID: a.ID})
+		return
+	}
+	s := f.take(a)
+	f.taken.add(f.now, 1)
+	f.probes = min(f.probes+probeEach, 10)
+	f.share(s)
+	if a.Moved {
+		s.moved = true
+		if from := f.past.from[a.Viewer]; from != nil {
+			s.tried = append(s.tried, from)
+		}
+	}
+	f.place(s)
+}
+
+// share weighs traffic beyond a tenant's share at what it is worth, so that it yields under pressure.
+func (f *Front) share(s *session) {
+	if s.Tenant >= len(f.tenants) {
+		return
+	}
+	rate := f.set.Tenants[s.Tenant].PerSecond / float64(max(f.set.Fleet, 1))
+	b := &f.tenants[s.Tenant]
+	if b.fill(f.now, rate, rate*overBurst) >= 1 {
+		b.tokens--
+	} else if !s.Moved {
+		s.weight *= f.set.OverShare
+	}
+}
+
+func (f *Front) handed(h Handed) {
+	v := f.fleet.get(h.Server)
+	if v == nil || !f.usable(&h.Ask) {
+		return
+	}
+	s := f.take(h.Ask)
+	s.attempts, s.playing, s.started = 1, true, f.now
+	v.heardAt = f.now
+	f.enter(s, v)
+}
+
+func (f *Front) started(e Playing) {
+	s := f.byID[e.ID]
+	if s == nil || s.at == nil || s.playing || e.Attempt != s.attempts-1 {
+		return
+	}
+	s.playing, s.started, s.changed = true, f.now, f.now
+	f.proved(s.at)
+	if s.at.trial == s {
+		s.at.trial = nil
+	}
+}
+
+func (f *Front) gone(id uint64) {
+	s := f.byID[id]
+	if s == nil {
+		return
+	}
+	if s.at != nil {
+		s.left = true // its outcome is still to come, and it holds its seat until then
+		return
+	}
+	f.forget(s)
+}
+
+func (f *Front) outcome(e Outcome) {
+	v := f.fleet.get(e.Server)
+	if v != nil && len(e.Report) > 0 {
+		f.report(v, e.Report)
+	}
+	s := f.byID[e.ID]
+	if s == nil || s.at == nil || s.at != v || e.Attempt != s.attempts-1 {
+		return
+	}
+	wasPlaying := s.playing
+	f.leave(s)
+	if wasPlaying || e.Status == OK {
+		if e.Status == ResetConn {
+			f.failing(v, 1, true)
+		}
+		f.forget(s)
+		return
+	}
+	switch e.Status {
+	case Errored:
+		s.unsure = true
+		v.errors.add(f.now, 1)
+		n := v.errors.sum(f.now, tallyWindow)
+		f.failing(v, 1, n >= errorsTrip && n >= v.good.sum(f.now, tallyWindow))
+	case ResetConn, TimedOut:
+		s.unsure = true
+		f.failing(v, 2, true)
+	case NoConnect:
+		f.failing(v, 2, true)
+	case Full:
+		v.bad.add(f.now, 0.5)
+	case CancelledSt:
+		s.unsure = true
+	}
+	if e.Final || s.left {
+		f.forget(s)
+		return
+	}
+	f.place(s)
+}
+
+// ---- Health ----
+
+// failing books a failure. With trip it opens the breaker.
+func (f *Front) failing(v *server, weight float64, trip bool) {
+	v.bad.add(f.now, weight)
+	if !trip || f.now < v.openUntil {
+		return
+	}
+	v.backoff = min(max(2*v.backoff, backoffMin), backoffMax)
+	v.openUntil = f.now + v.backoff
+	v.failed = true
+}
+
+// proved books a success: the breaker closes. A server that was seen failing may have restarted.
+func (f *Front) proved(v *server) {
+	v.good.add(f.now, 1)
+	v.heardAt = f.now
+	if v.failed {
+		v.failed = false
+		v.coldUntil = max(v.coldUntil, f.now+f.set.ColdSpan)
+	}
+	if f.now >= v.openUntil {
+		v.backoff = 0
+	}
+}
+
+// open tells whether the breaker keeps a session off: after a failure for a while, and then for
+// all but one safe session until that has started.
+func (f *Front) open(v *server, s *session) bool {
+	if f.now < v.openUntil {
+		return true
+	}
+	return v.failed && (f.class(s).Paid || v.trial != nil)
+}
+
+// paced tells whether a server may be cold for all this front knows.
+func (f *Front) paced(v *server) bool {
+	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || f.now-f.born < f.set.ColdSpan)
+}
+
+// cold tells whether a set-up must wait for the pace of a server that may be cold.
+func (f *Front) cold(v *server) bool { return f.paced(v) && f.fillPace(v) < 1 }
+
+func (f *Front) fillPace(v *server) float64 {
+	slots := 1.0
+	if v.Kind < len(f.set.KindSlots) {
+		slots = f.set.KindSlots[v.Kind]
+	}
+	perS := slots / (float64(f.set.ColdSpan) / float64(Second)) * f.set.ColdFrom * f.set.ColdTimes
+	if v.pace.at == 0 {
+		v.pace.at = f.now
+		v.pace.tokens = 1
+	}
+	return v.pace.fill(f.now, perS*paceMargin/float64(max(f.set.Fleet, 1)), 1)
+}
+
+// ---- Placement ----
+
+// candidates ranks the holders that may take a session now: by use, tally and distance.
+func (f *Front) candidates(s *session) []*server {
+	type ranked struct {
+		v     *server
+		score float64
+	}
+	var list []ranked
+	collect := func(evenOpen bool) {
+		for _, v := range f.fleet.order {
+			if !f.holds(v, s) || s.hasTried(v) || f.cold(v) || f.open(v, s) != evenOpen {
+				continue
+			}
+			score := f.busy(v) + tallyWeight*v.bad.sum(f.now, tallyWindow)
+			if v.Zone != f.set.Zone {
+				score += f.set.PriceCross
+			}
+			list = append(list, ranked{v, score})
+		}
+	}
+	collect(false)
+	if len(list) == 0 && !f.class(s).Paid {
+		collect(true)
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].score < list[j].score })
+	var out []*server
+	for _, r := range list[:min(len(list), listLen)] {
+		out = append(out, r.v)
+	}
+	return out
+}
+
+// place sends a session to the best-ranked holder with room, or the next on its list.
+func (f *Front) place(s *session) {
+	if s.unsure && f.class(s).Paid {
+		f.do(Fail{s.ID})
+		f.forget(s)
+		return
+	}
+	if s.attempts > 0 && (f.now >= s.Deadline-lastTry || s.attempts >= f.set.MaxAttempts || !f.mayRetry()) {
+		f.giveUp(s)
+		return
+	}
+	if s.Moved && len(s.list) == 0 && len(s.tried) > 0 && s.attempts == 0 {
+		// Another rack than the one it came from, if any has room.
+		from := s.tried[0].rack
+		for _, v := range f.candidates(s) {
+			if v.rack != from {
+				s.list = append(s.list, v)
+			}
+		}
+	} else if s.attempts == 0 || len(s.list) == 0 {
+		s.list = f.candidates(s)
+	}
+	floor := f.kb(s, f.class(s).Floor)
+	for _, v := range s.list {
+		if v.listed && !s.hasTried(v) && !f.open(v, s) && !f.cold(v) && f.fits(v, floor, mark) && f.seat(s) {
+			f.send(s, v)
+			return
+		}
+	}
+	for _, v := range s.list {
+		if v.listed && !s.hasTried(v) && !f.cold(v) && f.seat(s) && f.makeRoom(s, v, floor) {
+			f.send(s, v)
+			return
+		}
+	}
+	s.list = nil
+	if s.holding == 0 {
+		s.holding = min(f.now+holdSpan, s.Deadline-lastTry)
+		f.waiting = append(f.waiting, s)
+		f.do(Timer{tokenHeld, max(s.holding-f.now, 0)})
+	}
+	if f.now >= s.holding {
+		f.giveUp(s)
+	}
+}
+
+// retryHeld looks for room for the requests held.
+func (f *Front) retryHeld() {
+	for _, s := range append([]*session(nil), f.waiting...) {
+		f.place(s)
+	}
+}
+
+// seat tells whether the class's seats for the title leave one free.
+func (f *Front) seat(s *session) bool {
+	seats := f.class(s).Seats
+	if seats <= 0 {
+		return true
+	}
+	n := 0
+	for _, v := range f.fleet.order {
+		for _, o := range v.held {
+			if o.Class == s.Class && o.Title == s.Title {
+				n++
+			}
+		}
+	}
+	return n < seats
+}
+
+// mayRetry keeps further attempts within a stated budget.
+func (f *Front) mayRetry() bool {
+	if !f.set.Budgeted {
+		return true
+	}
+	span := f.set.BudgetSpan
+	return f.extra.sum(f.now, span)+1 <= f.set.SpareAttempts+f.set.Ratio*f.taken.sum(f.now, span)
+}
+
+func (f *Front) send(s *session, v *server) {
+	f.waiting, s.holding = drop(f.waiting, s), 0
+	if f.paced(v) {
+		f.fillPace(v)
+		v.pace.tokens--
+	}
+	if v.failed {
+		v.trial = s
+	}
+	if s.attempts > 0 {
+		f.extra.add(f.now, 1)
+	}
+	s.rung = f.choose(s, v)
+	s.attempts++
+	s.tried = append(s.tried, v)
+	f.enter(s, v)
+	if s.rung != f.class(s).Floor || s.attempts > 1 {
+		f.do(Rate{s.ID, s.rung})
+	}
+	timeout := s.Deadline - f.now
+	if !f.class(s).Paid && s.attempts < f.set.MaxAttempts && len(s.list) > 1 {
+		timeout = min(timeout, Time(tryShare*float64(f.class(s).Aim)))
+	}
+	f.do(Send{s.ID, v.Server, timeout})
+	f.probe(v, probeStale)
+}
+
+// choose is the rung rule: the highest rung that keeps link and uplink under the mark. Early sessions
+// that hold a higher rung for less worth than the newcomer would gain give some of it up.
+func (f *Front) choose(s *session, v *server) int {
+	rung := f.top(s)
+	for rung > f.class(s).Floor && !f.fits(v, f.kb(s, rung), mark) {
+		rung--
+	}
+	for n := 0; n < swapMost && rung < f.top(s); n++ {
+		gain := f.step(s, rung+1)
+		if !f.lowerOne(v, gain/swapGain) {
+			break
+		}
+		for rung < f.top(s) && f.fits(v, f.kb(s, rung+1), mark) {
+			rung++
+		}
+	}
+	return rung
+}
+
+// step is the worth of a kB of the step up to a rung.
+func (f *Front) step(s *session, rung int) float64 {
+	if rung <= 0 || rung >= len(f.set.RungKB) {
+		return math.Inf(1)
+	}
+	return s.weight * (f.set.RungWorth[rung] - f.set.RungWorth[rung-1]) / max(f.kb(s, rung)-f.kb(s, rung-1), 1e-9)
+}
+
+// lowerOne takes one rung off the own session that loses least worth per kB, if less than limit.
+// Where only the uplink is full the whole rack is asked.
+func (f *Front) lowerOne(v *server, limit float64) bool {
+	var best *session
+	loss := limit
+	wide := f.load(&v.link, 0) < mark*f.warmth(v)
+	for _, o := range f.fleet.order {
+		if o != v && (!wide || o.rack != v.rack) {
+			continue
+		}
+		for _, s := range o.held {
+			if s.rung <= f.class(s).Floor || s.left || (s.playing && f.now-s.changed < restRung) {
+				continue
+			}
+			if l := f.step(s, s.rung); l < loss {
+				best, loss = s, l
+			}
+		}
+	}
+	if best == nil {
+		return false
+	}
+	f.setRung(best, best.rung-1)
+	return true
+}
+
+func (f *Front) setRung(s *session, rung int) {
+	f.occupy(s, -1)
+	s.rung = rung
+	f.occupy(s, 1)
+	s.changed = f.now
+	f.do(Rate{s.ID, rung})
+}
+
+// makeRoom lowers early sessions until kb fit under the mark.
+func (f *Front) makeRoom(s *session, v *server, kb float64) bool {
+	if f.open(v, s) && f.class(s).Paid {
+		return false
+	}
+	limit := s.weight * f.set.RungWorth[f.class(s).Floor] / kb
+	for n := 0; n < swapMost && !f.fits(v, kb, mark); n++ {
+		if !f.lowerOne(v, limit) {
+			return false
+		}
+	}
+	return f.fits(v, kb, mark)
+}
+
+// giveUp ends a request at once.
+func (f *Front) giveUp(s *session) {
+	if f.now >= s.Deadline {
+		f.do(Fail{s.ID})
+	} else {
+		after := Time(0)
+		if f.set.RetryAfter {
+			after = Time(float64(f.set.MaxRetry) * (0.5 + 0.5*f.rng.Float64()))
+		}
+		f.do(Refuse{s.ID, after})
+	}
+	f.forget(s)
+}
+
+// ---- While sessions play ----
+
+func (f *Front) note(e Note) {
+	s := f.byID[e.ID]
+	v := f.fleet.get(e.Server)
+	if s == nil || v == nil || s.at != v {
+		return
+	}
+	v.heardAt = f.now
+	switch e.Kind {
+	case NoteRung:
+		if r := int(e.Value); r >= 0 && r < len(f.set.RungKB) {
+			f.occupy(s, -1)
+			s.rung = r
+			f.occupy(s, 1)
+		}
+	case NoteLink:
+		f.told(&v.link, e.Value, f.set.SeeLate)
+	case NoteUplink:
+		f.told(&v.rack.meter, e.Value, f.set.SeeLate)
+	case NoteShare:
+		f.short(v, e.Value)
+	}
+}
+
+// short acts on a note that tells the share delivered at a server.
+func (f *Front) short(v *server, share float64) {
+	if share >= 0.98 {
+		v.shorts = 0
+		return
+	}
+	v.share, v.shortAt = share, f.now
+	v.bad.add(f.now, 1-share)
+	if share < hungShare {
+		f.failing(v, 1, true)
+	} else {
+		m := &v.link
+		if f.load(&v.rack.meter, 0) > f.load(m, 0) {
+			m = &v.rack.meter
+		}
+		at := f.now - f.set.SeeLate
+		m.use, m.useOwn, m.useAt, m.told = 1/share, m.ownAt(at), max(at, m.useAt), true
+	}
+	if share < moveShare {
+		v.shorts++
+	}
+	f.probe(v, 0)
+	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
+		f.shed(v, share)
+	}
+	if v.shorts >= moveNotes {
+		f.moveOff(v)
+	}
+}
+
+// shed lowers own sessions at a short server until the own rate has come down by what is missing.
+func (f *Front) shed(v *server, share float64) {
+	v.shedAt = f.now
+	target := v.link.own * share * shedTarget
+	for v.link.own > target {
+		var best *session
+		loss := math.Inf(1)
+		for _, s := range v.held {
+			if s.rung > f.class(s).Floor && !s.left {
+				if l := f.step(s, s.rung); l < loss {
+					best, loss = s, l
+				}
+			}
+		}
+		if best == nil {
+			return
+		}
+		f.setRung(best, best.rung-1)
+	}
+}
+
+// moveOff moves a session, paced, to the best holder with room on another rack, if there is one.
+func (f *Front) moveOff(v *server) {
+	if f.moves.fill(f.now, movesPerS, movesBurst) < 1 {
+		return
+	}
+	for _, s := range v.held {
+		if !s.playing || s.moved || s.left || f.left(s) < 5*Second {
+			continue
+		}
+		for _, o := range f.candidates(s) {
+			if o.rack != v.rack && !f.open(o, s) && f.fits(o, f.kb(s, s.rung), mark) {
+				f.moves.tokens--
+				s.moved = true
+				f.past.put(s.Viewer, v, pastMost)
+				f.do(Move{s.ID})
+				return
+			}
+		}
+	}
+}
+
+// left is how long a session is expected to last yet.
+func (f *Front) left(s *session) Time {
+	if s.Hinted {
+		return max(s.Length-(f.now-s.started), 0)
+	}
+	return remains
+}
+
+func (f *Front) probe(v *server, stale Time) {
+	if !f.set.MayProbe || v.probing || f.probes < 1 || f.now-v.probedAt < Second ||
+		(v.link.told && f.now-v.link.useAt < stale) {
+		return
+	}
+	f.probes--
+	v.probing, v.probedAt = true, f.now
+	f.do(Probe{v.Server})
+}
+
+func (f *Front) alarm() {
+	f.do(Timer{tokenTick, tick})
+	f.ticks++
+	f.retryHeld()
+	if f.ticks%slowTick != 0 {
+		return
+	}
+	for _, v := range f.fleet.order {
+		f.raise(v)
+	}
+}
+
+// raise gives lasting spare to the session that gains most by it, one a second on each rack.
+func (f *Front) raise(v *server) {
+	if f.now-v.rack.raisedAt < Second/2 || f.now-v.shortAt < raiseCalm || !f.fits(v, 0, mark-raiseGap) || v.failed {
+		return
+	}
+	if !v.link.told || f.now-v.link.useAt > 3*Second {
+		if len(v.held) > 0 {
+			f.probe(v, probeStale)
+		}
+		return
+	}
+	var best *session
+	gain := 0.0
+	for _, s := range v.held {
+		if !s.playing || s.left || s.rung >= f.top(s) || f.now-s.changed < restRung {
+			continue
+		}
+		worth := (f.set.RungWorth[s.rung+1] - f.set.RungWorth[s.rung]) * float64(f.left(s)) / float64(Second)
+		if worth < 2*f.set.ChangeCost || !f.fits(v, f.kb(s, s.rung+1)-f.kb(s, s.rung), mark-raiseGap/2) {
+			continue
+		}
+		if g := f.step(s, s.rung+1); g > gain {
+			best, gain = s, g
+		}
+	}
+	if best != nil {
+		f.setRung(best, best.rung+1)
+		v.rack.raisedAt = f.now
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,262 @@
+package policy
+
+import (
+	"math/rand"
+	"sort"
+)
+
+// This file holds records and counters only. Every length, limit and judgement is policy.go's.
+
+// meter follows the rate asked of a link or of a rack's uplink.
+type meter struct {
+	cap     float64 // rough size, kB a second
+	own     float64 // rate of this front's sessions, set-ups under way included
+	changes []change
+	use     float64 // last use told, as a part of the size
+	useOwn  float64 // own rate when that was measured
+	useAt   Time    // when it was measured
+	told    bool
+}
+
+type change struct {
+	at Time
+	kb float64
+}
+
+// add books a change of the own rate; changes older than keep are forgotten.
+func (m *meter) add(now Time, kb float64, keep Time) {
+	m.own += kb
+	if m.own < 1e-6 {
+		m.own = 0
+	}
+	n := 0
+	for n < len(m.changes) && m.changes[n].at < now-keep {
+		n++
+	}
+	m.changes = append(m.changes[n:], change{now, kb})
+}
+
+// ownAt gives the own rate as it was at an earlier time, as far back as changes are kept.
+func (m *meter) ownAt(at Time) float64 {
+	own := m.own
+	for i := len(m.changes) - 1; i >= 0 && m.changes[i].at > at; i-- {
+		own -= m.changes[i].kb
+	}
+	return max(own, 0)
+}
+
+// tally counts weighted events over a sliding window.
+type tally struct{ marks []change }
+
+func (t *tally) add(now Time, weight float64) { t.marks = append(t.marks, change{now, weight}) }
+
+func (t *tally) sum(now, window Time) float64 {
+	n := 0
+	for n < len(t.marks) && t.marks[n].at < now-window {
+		n++
+	}
+	t.marks = t.marks[n:]
+	total := 0.0
+	for _, m := range t.marks {
+		total += m.kb
+	}
+	return total
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	tokens float64
+	at     Time
+}
+
+// fill brings the bucket up to date and gives what it holds.
+func (b *bucket) fill(now Time, perSecond, most float64) float64 {
+	b.tokens = min(most, b.tokens+perSecond*float64(now-b.at)/float64(Second))
+	b.at = now
+	return b.tokens
+}
+
+// server is what a front knows of a media server.
+type server struct {
+	Entry
+	listed bool
+	link   meter
+	rack   *rack
+	held   []*session // set up or playing here, oldest first
+
+	bad, good tally // failures by weight, and successes
+	errors    tally
+
+	openUntil Time // circuit breaker: no set-ups before this
+	backoff   Time
+	trial     *session // the half-open breaker's one session
+	failed    bool     // seen failing, and no success since
+	coldUntil Time     // paced until then
+	pace      bucket
+
+	heardAt  Time // last sign of life from sessions playing here
+	shortAt  Time // last short note
+	share    float64
+	shorts   int // short notes in a row under the moving limit
+	shedAt   Time
+	probing  bool
+	probedAt Time
+}
+
+type rack struct {
+	meter
+	raisedAt Time
+}
+
+// session is a request from its arrival to its end.
+type session struct {
+	Ask
+	weight   float64 // worth of a second at a rung of worth 1
+	rung     int
+	at       *server // nil while no attempt is out and it does not play
+	attempts int
+	unsure   bool // an attempt may have run
+	playing  bool
+	left     bool // the viewer is gone; an attempt is still out
+	arrived  Time
+	started  Time
+	changed  Time // last change of rung while playing
+	holding  Time // held for room since; 0: not
+	list     []*server
+	tried    []*server
+	moved    bool
+}
+
+func (s *session) hasTried(v *server) bool {
+	for _, t := range s.tried {
+		if t == v {
+			return true
+		}
+	}
+	return false
+}
+
+func drop(list []*session, s *session) []*session {
+	for i, x := range list {
+		if x == s {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// fleet keeps servers by id, and in the order of their ids.
+type fleet struct {
+	byID  map[uint32]*server
+	order []*server
+}
+
+func (f *fleet) get(id uint32) *server { return f.byID[id] }
+
+func (f *fleet) add(v *server) {
+	f.byID[v.Server] = v
+	f.order = append(f.order, v)
+	sort.Slice(f.order, func(i, j int) bool { return f.order[i].Server < f.order[j].Server })
+}
+
+// past remembers where viewers came from after a move, the newest few only.
+type past struct {
+	from  map[uint64]*server
+	order []uint64
+}
+
+func (p *past) put(viewer uint64, v *server, most int) {
+	if _, ok := p.from[viewer]; !ok {
+		p.order = append(p.order, viewer)
+	}
+	p.from[viewer] = v
+	for len(p.order) > most {
+		delete(p.from, p.order[0])
+		p.order = p.order[1:]
+	}
+}
+
+// Front decides for one front. It does no I/O and reads no clock.
+type Front struct {
+	set     Settings
+	rng     *rand.Rand
+	now     Time
+	born    Time
+	out     []Action
+	fleet   fleet
+	racks   []*rack
+	byID    map[uint64]*session
+	waiting []*session
+	past    past
+	moves   bucket
+	probes  float64
+	tenants []bucket
+	taken   tally
+	extra   tally
+	ticks   int
+}
+
+func (f *Front) do(a Action) { f.out = append(f.out, a) }
+
+func (f *Front) kb(s *session, rung int) float64 { return f.set.RungKB[rung] * f.class(s).Scale }
+
+func (f *Front) class(s *session) *Class { return &f.set.Classes[s.Class] }
+
+func (f *Front) top(s *session) int {
+	return max(min(s.Top, f.class(s).Top, len(f.set.RungKB)-1), f.class(s).Floor)
+}
+
+// occupy books a session's rate where it is, times sign.
+func (f *Front) occupy(s *session, sign float64) {
+	kb := sign * f.kb(s, s.rung)
+	s.at.link.add(f.now, kb, keepChanges)
+	s.at.rack.add(f.now, kb, keepChanges)
+}
+
+func (f *Front) enter(s *session, v *server) {
+	s.at = v
+	v.held = append(v.held, s)
+	f.occupy(s, 1)
+}
+
+func (f *Front) leave(s *session) {
+	if s.at == nil {
+		return
+	}
+	f.occupy(s, -1)
+	s.at.held = drop(s.at.held, s)
+	if s.at.trial == s {
+		s.at.trial = nil
+	}
+	s.at = nil
+}
+
+func (f *Front) forget(s *session) {
+	f.leave(s)
+	f.waiting = drop(f.waiting, s)
+	delete(f.byID, s.ID)
+}
+
+func (f *Front) usable(a *Ask) bool {
+	return a.Class >= 0 && a.Class < len(f.set.Classes) && len(f.set.RungKB) > f.set.Classes[a.Class].Floor &&
+		len(f.set.RungWorth) >= len(f.set.RungKB) && f.byID[a.ID] == nil
+}
+
+func (f *Front) take(a Ask) *session {
+	s := &session{Ask: a, arrived: f.now, rung: f.set.Classes[a.Class].Floor}
+	s.weight = f.class(s).Worth
+	f.byID[a.ID] = s
+	return s
+}
+
+// holds tells whether a server is listed ready and holds the title.
+func (f *Front) holds(v *server, s *session) bool {
+	if !v.listed || f.set.Cells <= 0 {
+		return false
+	}
+	d := (v.Cell - s.Home) % f.set.Cells
+	if d < 0 {
+		d += f.set.Cells
+	}
+	return d < s.Copies
+}
