--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,6 @@
 	raiseCalm   = 6 * Second  // no short note for so long before a raise
 	restRung    = 8 * Second  // a session's rung rests so long between changes
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
-	swapGain    = 1.25        // a newcomer's gain must be so many times an early session's loss
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
 	probeStale  = 2 * Second  // a report older than this is worth a probe
@@ -209,9 +208,38 @@
 	return f.set.ColdFrom + (1-f.set.ColdFrom)*max(done, 0)
 }
 
-// fits tells whether kb more keep link and uplink under a limit.
-func (f *Front) fits(v *server, kb, limit float64) bool {
-	return f.load(&v.link, kb) <= limit*f.warmth(v) && f.load(&v.rack.meter, kb) <= limit
+// room is what link and uplink still take under a limit, in kB a second.
+func (f *Front) room(v *server, limit float64) (link, uplink float64) {
+	link = (limit*f.warmth(v) - f.load(&v.link, 0)) * v.link.cap
+	return link, (limit - f.load(&v.rack.meter, 0)) * v.rack.cap
+}
+
+// highest is the rung rule: the highest rung that room allows, -1 if not even the lowest.
+func (f *Front) highest(s *session, room float64) int {
+	rung := f.top(s)
+	for rung >= f.class(s).Floor && f.kb(s, rung) > room {
+		rung--
+	}
+	if rung < f.class(s).Floor {
+		return -1
+	}
+	return rung
+}
+
+// worth is what a session earns at a rung over the time it is expected to last.
+func (f *Front) worth(s *session, rung int) float64 {
+	if rung < 0 {
+		return 0
+	}
+	return s.weight * f.set.RungWorth[rung] * float64(f.left(s)) / float64(Second)
+}
+
+// change is what a change of rung costs once the session plays.
+func (f *Front) change(s *session) float64 {
+	if !s.playing {
+		return 0
+	}
+	return s.weight * f.set.ChangeCost
 }
 
 // busy is the fuller of link and uplink.
@@ -445,15 +473,18 @@
 	}
 	floor := f.kb(s, f.class(s).Floor)
 	for _, v := range s.list {
-		if v.listed && !s.hasTried(v) && !f.open(v, s) && !f.cold(v) && f.fits(v, floor, mark) && f.seat(s) {
-			f.send(s, v)
+		link, uplink := f.room(v, mark)
+		if v.listed && !s.hasTried(v) && !f.open(v, s) && !f.cold(v) && floor <= min(link, uplink) && f.seat(s) {
+			f.send(s, v, f.choose(s, v))
 			return
 		}
 	}
 	for _, v := range s.list {
-		if v.listed && !s.hasTried(v) && !f.cold(v) && f.seat(s) && f.makeRoom(s, v, floor) {
-			f.send(s, v)
-			return
+		if v.listed && !s.hasTried(v) && !f.cold(v) && !(f.class(s).Paid && f.open(v, s)) && f.seat(s) {
+			if rung := f.choose(s, v); rung >= 0 {
+				f.send(s, v, rung)
+				return
+			}
 		}
 	}
 	s.list = nil
@@ -500,7 +531,7 @@
 	return f.extra.sum(f.now, span)+1 <= f.set.SpareAttempts+f.set.Ratio*f.taken.sum(f.now, span)
 }
 
-func (f *Front) send(s *session, v *server) {
+func (f *Front) send(s *session, v *server, rung int) {
 	f.waiting, s.holding = drop(f.waiting, s), 0
 	if f.paced(v) {
 		f.fillPace(v)
@@ -512,7 +543,7 @@
 	if s.attempts > 0 {
 		f.extra.add(f.now, 1)
 	}
-	s.rung = f.choose(s, v)
+	s.rung = rung
 	s.attempts++
 	s.tried = append(s.tried, v)
 	f.enter(s, v)
@@ -527,57 +558,45 @@
 	f.probe(v, probeStale)
 }
 
-// choose is the rung rule: the highest rung that keeps link and uplink under the mark. Early sessions
-// that hold a higher rung for less worth than the newcomer would gain give some of it up.
+// choose gives a newcomer its rung: the highest that keeps link and uplink under the mark. Early
+// sessions would keep top rungs while later ones start low, or find no room: where lowering one earns
+// the newcomer more than it costs, it is lowered. Without room even so the answer is -1.
 func (f *Front) choose(s *session, v *server) int {
-	rung := f.top(s)
-	for rung > f.class(s).Floor && !f.fits(v, f.kb(s, rung), mark) {
-		rung--
-	}
+	link, uplink := f.room(v, mark)
+	rung := f.highest(s, min(link, uplink))
 	for n := 0; n < swapMost && rung < f.top(s); n++ {
-		gain := f.step(s, rung+1)
-		if !f.lowerOne(v, gain/swapGain) {
-			break
-		}
-		for rung < f.top(s) && f.fits(v, f.kb(s, rung+1), mark) {
-			rung++
-		}
-	}
-	return rung
-}
-
-// step is the worth of a kB of the step up to a rung.
-func (f *Front) step(s *session, rung int) float64 {
-	if rung <= 0 || rung >= len(f.set.RungKB) {
-		return math.Inf(1)
-	}
-	return s.weight * (f.set.RungWorth[rung] - f.set.RungWorth[rung-1]) / max(f.kb(s, rung)-f.kb(s, rung-1), 1e-9)
-}
-
-// lowerOne takes one rung off the own session that loses least worth per kB, if less than limit.
-// Where only the uplink is full the whole rack is asked.
-func (f *Front) lowerOne(v *server, limit float64) bool {
-	var best *session
-	loss := limit
-	wide := f.load(&v.link, 0) < mark*f.warmth(v)
-	for _, o := range f.fleet.order {
-		if o != v && (!wide || o.rack != v.rack) {
-			continue
-		}
-		for _, s := range o.held {
-			if s.rung <= f.class(s).Floor || s.left || (s.playing && f.now-s.changed < restRung) {
-				continue
+		var best *session
+		to, got, most := 0, rung, 0.0
+		for _, o := range f.fleet.order {
+			if o != v && (o.rack != v.rack || link <= uplink) {
+				continue // lowering elsewhere helps only where the uplink is the tighter
 			}
-			if l := f.step(s, s.rung); l < loss {
-				best, loss = s, l
+			for _, e := range o.held {
+				if e.left || e.playing && f.now-e.changed < restRung {
+					continue
+				}
+				for r := e.rung - 1; r >= f.class(e).Floor; r-- {
+					freed := f.kb(e, e.rung) - f.kb(e, r)
+					mine := link
+					if o == v {
+						mine += freed
+					}
+					new := f.highest(s, min(mine, uplink+freed))
+					net := f.worth(s, new) - f.worth(s, rung) - f.worth(e, e.rung) + f.worth(e, r) - f.change(e)
+					if net > most {
+						best, to, got, most = e, r, new, net
+					}
+				}
 			}
 		}
+		if best == nil {
+			break
+		}
+		f.setRung(best, to)
+		rung = got
+		link, uplink = f.room(v, mark)
 	}
-	if best == nil {
-		return false
-	}
-	f.setRung(best, best.rung-1)
-	return true
+	return rung
 }
 
 func (f *Front) setRung(s *session, rung int) {
@@ -588,20 +607,6 @@
 	f.do(Rate{s.ID, rung})
 }
 
-// makeRoom lowers early sessions until kb fit under the mark.
-func (f *Front) makeRoom(s *session, v *server, kb float64) bool {
-	if f.open(v, s) && f.class(s).Paid {
-		return false
-	}
-	limit := s.weight * f.set.RungWorth[f.class(s).Floor] / kb
-	for n := 0; n < swapMost && !f.fits(v, kb, mark); n++ {
-		if !f.lowerOne(v, limit) {
-			return false
-		}
-	}
-	return f.fits(v, kb, mark)
-}
-
 // giveUp ends a request at once.
 func (f *Front) giveUp(s *session) {
 	if f.now >= s.Deadline {
@@ -677,18 +682,19 @@
 	target := v.link.own * share * shedTarget
 	for v.link.own > target {
 		var best *session
-		loss := math.Inf(1)
+		to, least := 0, math.Inf(1)
 		for _, s := range v.held {
-			if s.rung > f.class(s).Floor && !s.left {
-				if l := f.step(s, s.rung); l < loss {
-					best, loss = s, l
+			for r := s.rung - 1; r >= f.class(s).Floor && !s.left; r-- {
+				freed := min(f.kb(s, s.rung)-f.kb(s, r), v.link.own-target)
+				if cost := (f.worth(s, s.rung) - f.worth(s, r) + f.change(s)) / freed; cost < least {
+					best, to, least = s, r, cost
 				}
 			}
 		}
 		if best == nil {
 			return
 		}
-		f.setRung(best, best.rung-1)
+		f.setRung(best, to)
 	}
 }
 
@@ -702,7 +708,10 @@
 			continue
 		}
 		for _, o := range f.candidates(s) {
-			if o.rack != v.rack && !f.open(o, s) && f.fits(o, f.kb(s, s.rung), mark) {
+			if o.rack == v.rack || f.open(o, s) {
+				continue
+			}
+			if link, uplink := f.room(o, mark); f.kb(s, s.rung) <= min(link, uplink) {
 				f.moves.tokens--
 				s.moved = true
 				f.past.put(s.Viewer, v, pastMost)
@@ -745,7 +754,8 @@
 
 // raise gives lasting spare to the session that gains most by it, one a second on each rack.
 func (f *Front) raise(v *server) {
-	if f.now-v.rack.raisedAt < Second/2 || f.now-v.shortAt < raiseCalm || !f.fits(v, 0, mark-raiseGap) || v.failed {
+	link, uplink := f.room(v, mark-raiseGap)
+	if f.now-v.rack.raisedAt < Second/2 || f.now-v.shortAt < raiseCalm || min(link, uplink) <= 0 || v.failed {
 		return
 	}
 	if !v.link.told || f.now-v.link.useAt > 3*Second {
@@ -755,21 +765,18 @@
 		return
 	}
 	var best *session
-	gain := 0.0
+	to, most := 0, 0.0
 	for _, s := range v.held {
-		if !s.playing || s.left || s.rung >= f.top(s) || f.now-s.changed < restRung {
-			continue
-		}
-		worth := (f.set.RungWorth[s.rung+1] - f.set.RungWorth[s.rung]) * float64(f.left(s)) / float64(Second)
-		if worth < 2*f.set.ChangeCost || !f.fits(v, f.kb(s, s.rung+1)-f.kb(s, s.rung), mark-raiseGap/2) {
+		if !s.playing || s.left || f.now-s.changed < restRung {
 			continue
 		}
-		if g := f.step(s, s.rung+1); g > gain {
-			best, gain = s, g
+		r := f.highest(s, min(link, uplink)+f.kb(s, s.rung))
+		if net := f.worth(s, r) - f.worth(s, s.rung) - 2*f.change(s); r > s.rung && net > most {
+			best, to, most = s, r, net
 		}
 	}
 	if best != nil {
-		f.setRung(best, best.rung+1)
+		f.setRung(best, to)
 		v.rack.raisedAt = f.now
 	}
 }
