Count a session not yet started as lasting its whole hint

Cause: the hint less the time since a start that had not come gave 0, so newcomers never earned a swap.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -724,6 +724,9 @@
 
 // left is how long a session is expected to last yet.
 func (f *Front) left(s *session) Time {
+	if s.Hinted && !s.playing {
+		return s.Length
+	}
 	if s.Hinted {
 		return max(s.Length-(f.now-s.started), 0)
 	}
