Probe the holders that keep a request waiting, then look again

Cause: requests were refused over old or no reports. Also covers servers never heard from. May harm where probes are dear: bounded by what requests earn.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
+	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
 	probeStale  = 2 * Second  // a report older than this is worth a probe
 	pastMost    = 1000        // moved viewers remembered
 	overBurst   = 4.0         // seconds of a tenant's share it may use at once
@@ -103,6 +104,7 @@
 		if v := f.fleet.get(e.Server); v != nil {
 			v.probing = false
 			f.report(v, e.Report)
+			f.retryHeld()
 		}
 	case Alarm:
 		switch e.Token {
@@ -487,12 +489,15 @@
 			}
 		}
 	}
-	s.list = nil
 	if s.holding == 0 {
 		s.holding = min(f.now+holdSpan, s.Deadline-lastTry)
 		f.waiting = append(f.waiting, s)
+		for _, v := range s.list {
+			f.probe(v, probeBlock)
+		}
 		f.do(Timer{tokenHeld, max(s.holding-f.now, 0)})
 	}
+	s.list = nil
 	if f.now >= s.holding {
 		f.giveUp(s)
 	}
