--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,7 +14,6 @@
 	mark        = 0.88               // use that a set-up may bring a link to; the rest is spare for wandering rates
 	listLen     = 20                 // holders on the fallback list (the paper's K)
 	tallyWindow = 10 * Second        // how long failures count in the ranking
-	crossWeight = 5.0                // use that a unit of the price for crossing zones counts for in the ranking
 	tallyWeight = 0.1                // use that one failure counts for in the ranking
 	holdSpan    = 300 * Millisecond  // a request without a holder waits so long for room
 	tick        = 100 * Millisecond  // housekeeping
@@ -435,7 +434,7 @@
 			}
 			score := f.busy(v) + tallyWeight*v.bad.sum(f.now, tallyWindow)
 			if v.Zone != f.set.Zone {
-				score += crossWeight * f.set.PriceCross
+				score += f.set.PriceCross
 			}
 			list = append(list, ranked{v, score})
 		}
