--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,9 +38,9 @@
 	moveNotes   = 2                  // and the notes it takes
 	movesPerS   = 0.5                // front-wide pace of moves
 	movesBurst  = 2
-	raiseGap    = 0.1         // spare under the mark that a raise needs
-	raiseCalm   = 6 * Second  // no short note for so long before a raise
-	restRung    = 8 * Second  // a session's rung rests so long between changes
+	raiseGap    = 0.06        // spare under the mark that a raise needs
+	raiseCalm   = 4 * Second  // no short note for so long before a raise
+	restRung    = 5 * Second  // a session's rung rests so long between changes
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
