--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,7 @@
 
 // Tuned values, each with its reason.
 const (
-	mark        = 0.78                // use that a set-up may bring a link to; the rest is spare for wandering rates
+	mark        = 0.88                  // use that a set-up may bring a link to; the rest is spare for wandering rates
 	listLen     = 20                 // holders on the fallback list (the paper's K)
 	tallyWindow = 10 * Second        // how long failures count in the ranking
 	tallyWeight = 0.1                // use that one failure counts for in the ranking
