--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,7 @@
 
 // Tuned values, each with its reason.
 const (
-	mark        = 0.88               // use that a set-up may bring a link to; the rest is spare for wandering rates
+	mark        = 0.88                  // use that a set-up may bring a link to; the rest is spare for wandering rates
 	listLen     = 20                 // holders on the fallback list (the paper's K)
 	tallyWindow = 10 * Second        // how long failures count in the ranking
 	tallyWeight = 0.1                // use that one failure counts for in the ranking
@@ -44,7 +44,6 @@
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
-	probeMost   = 10.0        // and at most so many saved
 	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
 	probeStale  = 2 * Second  // a report older than this is worth a probe
 	pastMost    = 1000        // moved viewers remembered
@@ -153,10 +152,6 @@
 			size = 1
 		}
 		v.link.cap = max(size*f.set.WeightKB, 1)
-		if !v.link.told && v.listed {
-			f.probes++ // a first look at each server, beside what requests earn
-			f.probe(v, 0)
-		}
 	}
 }
 
@@ -266,7 +261,7 @@
 	}
 	s := f.take(a)
 	f.taken.add(f.now, 1)
-	f.probes = min(f.probes+probeEach, probeMost)
+	f.probes = min(f.probes+probeEach, 10)
 	f.share(s)
 	if a.Moved {
 		s.moved = true
@@ -744,7 +739,7 @@
 }
 
 func (f *Front) probe(v *server, stale Time) {
-	if !f.set.MayProbe || v.probing || f.probes < 1 || (v.probedAt > 0 && f.now-v.probedAt < Second) ||
+	if !f.set.MayProbe || v.probing || f.probes < 1 || f.now-v.probedAt < Second ||
 		(v.link.told && f.now-v.link.useAt < stale) {
 		return
 	}
