--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,7 @@
 
 // Tuned values, each with its reason.
 const (
-	mark        = 0.88                  // use that a set-up may bring a link to; the rest is spare for wandering rates
+	mark        = 0.88               // use that a set-up may bring a link to; the rest is spare for wandering rates
 	listLen     = 20                 // holders on the fallback list (the paper's K)
 	tallyWindow = 10 * Second        // how long failures count in the ranking
 	tallyWeight = 0.1                // use that one failure counts for in the ranking
@@ -42,6 +42,7 @@
 	raiseCalm   = 4 * Second  // no short note for so long before a raise
 	restRung    = 5 * Second  // a session's rung rests so long between changes
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
+	swapUnder   = 1.0         // estimated use up to which a lowering may make room although the mark is passed
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
 	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
@@ -569,6 +570,9 @@
 func (f *Front) choose(s *session, v *server) int {
 	link, uplink := f.room(v, mark)
 	rung := f.highest(s, min(link, uplink))
+	if f.busy(v) < swapUnder {
+		link, uplink = max(link, 0), max(uplink, 0) // over the mark already: what a lowering frees may be used
+	}
 	for n := 0; n < swapMost && rung < f.top(s); n++ {
 		var best *session
 		to, got, most := 0, rung, 0.0
@@ -600,6 +604,9 @@
 		f.setRung(best, to)
 		rung = got
 		link, uplink = f.room(v, mark)
+		if min(link, uplink) <= 0 {
+			break
+		}
 	}
 	return rung
 }
