--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	raiseCalm   = 4 * Second  // no short note for so long before a raise
 	restRung    = 5 * Second  // a session's rung rests so long between changes
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
-	swapUnder   = 1.0         // estimated use up to which a lowering may make room although the mark is passed
+	swapUnder   = 0.94          // estimated use up to which a lowering may make room although the mark is passed
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
 	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
