Move a session only when the move earns more than its price

The shortness expected grows with each short note in a row. Could hurt where a server stays a little short for long: it moves later.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,17 +36,20 @@
 	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
 	moveShare   = 0.9                // the design's share under which sessions move
 	moveNotes   = 2                  // and the notes it takes
+	moveLasts   = 3 * Second         // each short note in a row lets expect so much more shortness
+	moveGap     = 1.0                // seconds of worth that a move takes beside its price
 	movesPerS   = 0.5                // front-wide pace of moves
 	movesBurst  = 2
 	raiseGap    = 0.06        // spare under the mark that a raise needs
 	raiseCalm   = 4 * Second  // no short note for so long before a raise
 	restRung    = 5 * Second  // a session's rung rests so long between changes
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
-	swapUnder   = 0.94          // estimated use up to which a lowering may make room although the mark is passed
+	swapUnder   = 0.94        // estimated use up to which a lowering may make room although the mark is passed
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
 	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
 	probeStale  = 2 * Second  // a report older than this is worth a probe
+	typicalOver = 50.0        // first tries over which the worth of a typical session is averaged
 	pastMost    = 1000        // moved viewers remembered
 	overBurst   = 4.0         // seconds of a tenant's share it may use at once
 )
@@ -270,6 +273,10 @@
 			s.tried = append(s.tried, from)
 		}
 	}
+	if !a.Again && !a.Moved {
+		f.typical += (f.worth(s, f.top(s)) - f.typical) / min(f.typicalN+1, typicalOver)
+		f.typicalN++
+	}
 	f.place(s)
 }
 
@@ -716,7 +723,13 @@
 		return
 	}
 	for _, s := range v.held {
-		if !s.playing || s.moved || s.left || f.left(s) < 5*Second {
+		if !s.playing || s.moved || s.left {
+			continue
+		}
+		// The longer a server has been short, the longer it is expected to stay so.
+		lasts := min(f.left(s), Time(v.shorts)*moveLasts)
+		lost := s.weight * f.set.RungWorth[s.rung] * min(f.set.StallCost*(0.98-v.share), 1)
+		if lost*float64(lasts)/float64(Second) < f.set.PriceMove*f.typical+moveGap*s.weight {
 			continue
 		}
 		for _, o := range f.candidates(s) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -194,6 +194,8 @@
 	taken   tally
 	extra   tally
 	ticks   int
+
+	typical, typicalN float64 // mean worth of a session, and over how many
 }
 
 func (f *Front) do(a Action) { f.out = append(f.out, a) }
