--- a/policy/policy.go
+++ b/policy/policy.go
@@ -598,7 +598,7 @@
 						mine += freed
 					}
 					new := f.highest(s, min(mine, uplink+freed))
-					net := f.worth(s, new) - f.worth(s, rung) - f.worth(e, e.rung) + f.worth(e, r) - f.change(e)
+					net := f.worth(s, new) - f.worth(s, rung) - f.worth(e, e.rung) + f.worth(e, r) - 2*f.change(e)
 					if net > most {
 						best, to, got, most = e, r, new, net
 					}
