--- /dev/null
+++ b/internal/simwire/wire_test.go
@@ -0,0 +1,248 @@
+package simwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"io"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+
+	"tealledge/policy"
+)
+
+// rec builds a record from a code and its fields, in the order given.
+func rec(code uint16, fields ...any) []byte {
+	b := binary.LittleEndian.AppendUint16(nil, code)
+	for _, f := range fields {
+		switch v := f.(type) {
+		case uint8:
+			b = append(b, v)
+		case uint16:
+			b = binary.LittleEndian.AppendUint16(b, v)
+		case uint32:
+			b = binary.LittleEndian.AppendUint32(b, v)
+		case uint64:
+			b = binary.LittleEndian.AppendUint64(b, v)
+		case float32:
+			b = binary.LittleEndian.AppendUint32(b, math.Float32bits(v))
+		case string:
+			b = append(b, v...)
+		default:
+			panic("unknown field type")
+		}
+	}
+	return b
+}
+
+func frame(now uint64, records ...[]byte) []byte {
+	body := binary.LittleEndian.AppendUint64(nil, now)
+	body = binary.LittleEndian.AppendUint32(body, uint32(len(records)))
+	for _, r := range records {
+		body = append(body, r...)
+	}
+	return append(binary.LittleEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
+
+var about = rec(1130, uint32(3))
+
+func entryBytes() string {
+	return string(rec(0, uint32(9), uint16(1), uint16(2), uint16(5), uint8(1), float32(1.5), uint64(77))[2:])
+}
+
+// events pairs each record with the event it stands for.
+func events() map[string]struct {
+	record []byte
+	want   any
+} {
+	type pair = struct {
+		record []byte
+		want   any
+	}
+	ask := policy.Ask{ID: 1, Title: 2, Copies: 3, Length: 4, Deadline: 5, Tenant: 6, Home: 7, Class: 1, Viewer: 8, Top: 2,
+		Hinted: true, Moved: true, Again: true}
+	return map[string]pair{
+		"start":       {rec(1000, uint64(5), uint32(4), "me=1"), Start{Seed: 5, Settings: "me=1"}},
+		"stop":        {rec(1090), Stop{}},
+		"list":        {rec(1010, uint8(4), uint32(1), uint8(2)), policy.List{Kind: policy.ListDelta, Entries: []policy.Entry{{Server: 9, Zone: 1, Kind: 2, Cell: 5, Health: policy.Draining, Size: 1.5, Started: 77}}}},
+		"failed list": {rec(1010, uint8(1), uint32(1), uint8(0)), policy.List{Kind: policy.ListFailed}},
+		"request": {rec(1020, uint64(1), uint64(2), float32(3), uint64(4), uint64(5), uint32(6), float32(7), uint16(25), uint16(1), uint64(8), float32(2)),
+			policy.Request{Ask: ask}},
+		"handed": {rec(1100, uint64(1), uint16(1), uint32(6), uint64(8), uint64(2), uint64(5), uint64(4), float32(7), float32(3), float32(2), uint16(25), uint32(9)),
+			policy.Handed{Ask: ask, Server: 9}},
+		"playing": {rec(1030, uint64(1), uint16(2), uint32(9), uint64(4)), policy.Playing{ID: 1, Attempt: 2, Server: 9, Took: 4}},
+		"note":    {rec(1110, uint64(1), uint16(2), uint32(9), uint8(1), float32(0.5)), policy.Note{ID: 1, Attempt: 2, Server: 9, Kind: policy.NoteShare, Value: 0.5}},
+		"outcome": {rec(1040, uint64(1), uint16(2), uint32(9), uint16(110), uint64(4), uint8(1), uint8(2), float32(0.25), float32(1.25)),
+			policy.Outcome{ID: 1, Attempt: 2, Server: 9, Status: policy.TimedOut, Took: 4, Final: true, Report: []float64{0.25, 1.25}}},
+		"gone":   {rec(1050, uint64(1)), policy.Gone{ID: 1}},
+		"alarm":  {rec(1060, uint32(6)), policy.Alarm{Token: 6}},
+		"probed": {rec(1070, uint32(9), uint16(0), uint64(4), uint8(1), float32(0.5)), policy.Probed{Server: 9, Took: 4, Report: []float64{0.5}}},
+	}
+}
+
+func TestEveryEventDecodesAndNoCutRecordDoes(t *testing.T) {
+	inventory := rec(1120, uint8(2), uint32(1), entryBytes())
+	for name, p := range events() {
+		d := NewDecoder(bytes.NewReader(frame(42, inventory, about, p.record)))
+		got, err := d.Next()
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if want := (Batch{42, []Heard{{3, p.want}}}); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: got %+v, want %+v", name, got, want)
+		}
+		if _, err := d.Next(); err != io.EOF {
+			t.Errorf("%s: end of input gave %v", name, err)
+		}
+		for cut := 2; cut < len(p.record); cut++ {
+			if _, err := NewDecoder(bytes.NewReader(frame(42, inventory, about, p.record[:cut]))).Next(); err == nil {
+				t.Errorf("%s cut to %d bytes was read", name, cut)
+			}
+		}
+		if _, err := NewDecoder(bytes.NewReader(frame(42, inventory, about, append(p.record[:len(p.record):len(p.record)], 0)))).Next(); err == nil {
+			t.Errorf("%s with a byte too many was read", name)
+		}
+	}
+}
+
+func TestPeerMessagesAreSkipped(t *testing.T) {
+	got, err := NewDecoder(bytes.NewReader(frame(1, about, rec(1080, uint32(2), uint16(3), "abc"), rec(1050, uint64(7))))).Next()
+	if err != nil || len(got.Events) != 1 {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
+func TestBadFramesAreNamed(t *testing.T) {
+	good := frame(1, about, rec(1050, uint64(7)))
+	bad := map[string][]byte{
+		"cut length":       good[:3],
+		"cut frame":        good[:len(good)-1],
+		"tiny length":      {3, 0, 0, 0, 1, 2, 3},
+		"huge length":      {0xff, 0xff, 0xff, 0xff},
+		"unknown record":   frame(1, about, rec(4242)),
+		"no instance":      frame(1, rec(1050, uint64(7))),
+		"unknown list":     frame(1, about, rec(1010, uint8(3), uint32(1), uint8(9))),
+		"odd list kind":    frame(1, about, rec(1010, uint8(7), uint32(1), uint8(9))),
+		"huge list":        frame(1, rec(1120, uint8(1), uint32(math.MaxUint32))),
+		"not a number":     frame(1, about, rec(1110, uint64(1), uint16(2), uint32(9), uint8(1), float32(math.NaN()))),
+		"count over":       append([]byte{12, 0, 0, 0}, make([]byte, 8)...),
+		"settings overrun": frame(1, about, rec(1000, uint64(5), uint32(400), "me=1")),
+	}
+	for name, b := range bad {
+		var out bytes.Buffer
+		err := Serve(bytes.NewReader(b), &out)
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	if err := Serve(bytes.NewReader(nil), io.Discard); err != nil {
+		t.Errorf("a clean end gave %v", err)
+	}
+}
+
+func TestEveryActionEncodes(t *testing.T) {
+	for _, c := range []struct {
+		act  policy.Action
+		want []byte
+	}{
+		{policy.Send{ID: 1, Server: 2, Timeout: 3}, rec(1040, uint64(1), uint32(2), uint64(3))},
+		{policy.Refuse{ID: 1, After: 3}, rec(1130, uint64(1), uint64(3))},
+		{policy.Fail{ID: 1}, rec(1140, uint64(1))},
+		{policy.Cancel{ID: 1, Attempt: 2}, rec(1010, uint64(1), uint16(2))},
+		{policy.Move{ID: 1}, rec(1110, uint64(1))},
+		{policy.Rate{ID: 1, Rung: 2}, rec(1090, uint64(1), uint8(2))},
+		{policy.Timer{Token: 1, After: 3}, rec(1050, uint32(1), uint64(3))},
+		{policy.Probe{Server: 2}, rec(1070, uint32(2))},
+		{policy.Follow{}, rec(1120, uint8(1))},
+		{policy.Log{Text: "ab"}, rec(1000, uint16(2), "ab")},
+	} {
+		var r Reply
+		if err := r.Add(3, c.act); err != nil {
+			t.Fatal(err)
+		}
+		var out bytes.Buffer
+		if _, err := r.WriteTo(&out); err != nil {
+			t.Fatal(err)
+		}
+		body := append(binary.LittleEndian.AppendUint32(nil, 2), append(rec(1060, uint32(3)), c.want...)...)
+		want := append(binary.LittleEndian.AppendUint32(nil, uint32(len(body))), body...)
+		if !bytes.Equal(out.Bytes(), want) {
+			t.Errorf("%T: got %s, want %s", c.act, hex.EncodeToString(out.Bytes()), hex.EncodeToString(want))
+		}
+	}
+	if err := new(Reply).Add(1, 42); err == nil {
+		t.Error("an unknown action was encoded")
+	}
+}
+
+func TestPanicBecomesAFaultOnTheWire(t *testing.T) {
+	// A front not made by New has nil maps, so its first list panics.
+	var reply Reply
+	fronts := map[uint32]*policy.Front{3: new(policy.Front)} // not made by New: its maps are nil
+	err := handle(fronts, 5, Heard{3, policy.Request{Ask: policy.Ask{ID: 1}}}, &reply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = handle(fronts, 5, Heard{3, policy.List{Entries: []policy.Entry{{Server: 1}}}}, &reply)
+	if err != nil || !bytes.Contains(reply.b, []byte("the decision module failed")) {
+		t.Fatalf("no fault on the wire: %v %q", err, reply.b)
+	}
+}
+
+func TestFrontsStartStopAndAnswerBatchByBatch(t *testing.T) {
+	in := frame(1000, about, rec(1000, uint64(5), uint32(4), "me=1"), rec(1120, uint8(2), uint32(1), entryBytes()),
+		rec(1010, uint8(2), uint32(1), uint8(2)))
+	in = append(in, frame(2000)...)
+	in = append(in, frame(3000, about, rec(1090), rec(1060, uint32(0)))...)
+	var out bytes.Buffer
+	if err := Serve(bytes.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	frames := 0
+	for b := out.Bytes(); len(b) > 0; frames++ {
+		b = b[4+binary.LittleEndian.Uint32(b):]
+	}
+	if frames != 3 {
+		t.Fatalf("%d replies to 3 batches", frames)
+	}
+	if !bytes.HasSuffix(out.Bytes(), []byte{4, 0, 0, 0, 0, 0, 0, 0}) {
+		t.Fatal("a front acted after its stop")
+	}
+}
+
+func TestSettings(t *testing.T) {
+	s, bad := ParseSettings(strings.Join([]string{
+		"fleet-size=2", "family-info.level-kb=194.0,313.0", "family-info.level-worth=0.2,1.0", "family-info.kind-slots=46",
+		"telemetry.fields=x0,x1,load_share,depth", "telemetry.how=inline", "discovery=subscribe",
+		"policy-limits.may-probe=true", "policy-limits.retry-after=maybe", "rules.spare-attempts=3",
+		"request-classes.count=2", "request-classes.0.effect=safe", "request-classes.0.slo-ns=1000000000",
+		"request-classes.1.effect=unsafe", "family-info.lowest-rung=0,1", "family-info.seats=0,4",
+		"family-info.scale-by-class=x,1", "realms.count=1", "realms.0.quota-rps=4.0", "zone=-1", "some.new-key=7",
+		"family-info.shelves=2.5", "family-info.positions=99999999", "", "no equals sign", "prices.moves=nan",
+	}, "\n"))
+	if s.Fleet != 2 || !reflect.DeepEqual(s.RungKB, []float64{194, 313}) || !s.Inline || !s.MayProbe || !s.AskList ||
+		!s.Budgeted || s.SpareAttempts != 3 || s.Tenants[0].PerSecond != 4 {
+		t.Errorf("%+v", s)
+	}
+	if !reflect.DeepEqual(s.Fields, []policy.Field{policy.FieldLink, policy.FieldUplink, policy.FieldUtil, policy.FieldOther}) {
+		t.Errorf("fields %v", s.Fields)
+	}
+	if c := s.Classes; len(c) != 2 || c[0].Paid || !c[1].Paid || c[1].Floor != 1 || c[1].Seats != 4 || c[0].Scale != 1 ||
+		c[0].Aim != policy.Second || c[0].Top != 1 {
+		t.Errorf("classes %+v", c)
+	}
+	for _, key := range []string{"retry-after", "scale-by-class", "zone", "shelves", "positions", "no equals sign", "prices.moves"} {
+		if !strings.Contains(strings.Join(bad, "\n"), key) {
+			t.Errorf("%s is not named in %q", key, bad)
+		}
+	}
+	if strings.Contains(strings.Join(bad, "\n"), "some.new-key") {
+		t.Error("an unknown key is called unusable")
+	}
+	if s, bad := ParseSettings(""); len(bad) > 0 || len(s.Classes) > 0 || s.Budgeted {
+		t.Errorf("no settings: %+v %q", s, bad)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,7 @@
 
 // Tuned values, each with its reason.
 const (
-	mark        = 0.88               // use that a set-up may bring a link to; the rest is spare for wandering rates
+	mark        = 0.88               // use that a set-up may bring a link to; the rest is for wandering rates
 	listLen     = 20                 // holders on the fallback list (the paper's K)
 	tallyWindow = 10 * Second        // how long failures count in the ranking
 	tallyWeight = 0.1                // use that one failure counts for in the ranking
@@ -44,7 +44,7 @@
 	raiseCalm   = 4 * Second  // no short note for so long before a raise
 	restRung    = 5 * Second  // a session's rung rests so long between changes
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
-	swapUnder   = 0.94        // estimated use up to which a lowering may make room although the mark is passed
+	swapUnder   = 0.94        // estimated use up to which lowering makes room past the mark
 	swapMost    = 3           // early sessions lowered for one newcomer
 	probeEach   = 0.6         // probes earned by each request taken
 	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
@@ -65,13 +65,10 @@
 func New(set Settings, seed uint64) *Front {
 	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{}, born: -1,
 		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}, probes: 3}
-	f.moves.tokens = movesBurst
 	for i := 0; i < max(set.Racks, 1); i++ {
 		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1)}})
 	}
-	for _, t := range set.Tenants {
-		f.tenants = append(f.tenants, bucket{tokens: t.PerSecond * overBurst / float64(max(set.Fleet, 1))})
-	}
+	f.tenants = make([]bucket, len(set.Tenants))
 	return f
 }
 
@@ -80,10 +77,7 @@
 func (f *Front) Handle(now Time, event Event) []Action {
 	f.now, f.out = now, nil
 	if f.born < 0 {
-		f.born, f.moves.at = now, now
-		for i := range f.tenants {
-			f.tenants[i].at = now
-		}
+		f.born = now
 		f.do(Timer{tokenTick, tick})
 		if f.set.AskList {
 			f.do(Follow{})
@@ -108,14 +102,13 @@
 		if v := f.fleet.get(e.Server); v != nil {
 			v.probing = false
 			f.report(v, e.Report)
-			f.retryHeld()
 		}
 	case Alarm:
 		switch e.Token {
 		case tokenTick:
 			f.alarm()
 		case tokenHeld:
-			f.retryHeld()
+			f.retryHeld(true)
 		case tokenAsk:
 			f.do(Follow{})
 		}
@@ -138,8 +131,7 @@
 	for _, e := range l.Entries {
 		v := f.fleet.get(e.Server)
 		if v == nil {
-			v = &server{}
-			v.Entry = e
+			v = &server{Entry: e}
 			f.fleet.add(v)
 		} else if e.Started > v.Started {
 			// A new process: what was known of the old one says nothing of it.
@@ -151,11 +143,7 @@
 			v.coldUntil = max(v.coldUntil, e.Started+f.set.ColdSpan)
 		}
 		v.rack = f.racks[e.Cell%len(f.racks)]
-		size := e.Size
-		if size <= 0 {
-			size = 1
-		}
-		v.link.cap = max(size*f.set.WeightKB, 1)
+		v.link.cap = max(e.Size*f.set.WeightKB, 1)
 	}
 }
 
@@ -269,9 +257,7 @@
 	f.share(s)
 	if a.Moved {
 		s.moved = true
-		if from := f.past.from[a.Viewer]; from != nil {
-			s.tried = append(s.tried, from)
-		}
+		s.from = f.past.from[a.Viewer]
 	}
 	if !a.Again && !a.Moved {
 		f.typical += (f.worth(s, f.top(s)) - f.typical) / min(f.typicalN+1, typicalOver)
@@ -294,17 +280,6 @@
 	}
 }
 
-func (f *Front) handed(h Handed) {
-	v := f.fleet.get(h.Server)
-	if v == nil || !f.usable(&h.Ask) {
-		return
-	}
-	s := f.take(h.Ask)
-	s.attempts, s.playing, s.started = 1, true, f.now
-	v.heardAt = f.now
-	f.enter(s, v)
-}
-
 func (f *Front) started(e Playing) {
 	s := f.byID[e.ID]
 	if s == nil || s.at == nil || s.playing || e.Attempt != s.attempts-1 {
@@ -317,18 +292,6 @@
 	}
 }
 
-func (f *Front) gone(id uint64) {
-	s := f.byID[id]
-	if s == nil {
-		return
-	}
-	if s.at != nil {
-		s.left = true // its outcome is still to come, and it holds its seat until then
-		return
-	}
-	f.forget(s)
-}
-
 func (f *Front) outcome(e Outcome) {
 	v := f.fleet.get(e.Server)
 	if v != nil && len(e.Report) > 0 {
@@ -338,9 +301,8 @@
 	if s == nil || s.at == nil || s.at != v || e.Attempt != s.attempts-1 {
 		return
 	}
-	wasPlaying := s.playing
 	f.leave(s)
-	if wasPlaying || e.Status == OK {
+	if s.playing || e.Status == OK {
 		if e.Status == ResetConn {
 			f.failing(v, 1, true)
 		}
@@ -353,14 +315,13 @@
 		v.errors.add(f.now, 1)
 		n := v.errors.sum(f.now, tallyWindow)
 		f.failing(v, 1, n >= errorsTrip && n >= v.good.sum(f.now, tallyWindow))
-	case ResetConn, TimedOut:
-		s.unsure = true
-		f.failing(v, 2, true)
-	case NoConnect:
+	case ResetConn, TimedOut, NoConnect:
+		s.unsure = s.unsure || e.Status != NoConnect
 		f.failing(v, 2, true)
 	case Full:
 		v.bad.add(f.now, 0.5)
-	case CancelledSt:
+	case Moot:
+	default:
 		s.unsure = true
 	}
 	if e.Final || s.left {
@@ -386,7 +347,6 @@
 // proved books a success: the breaker closes. A server that was seen failing may have restarted.
 func (f *Front) proved(v *server) {
 	v.good.add(f.now, 1)
-	v.heardAt = f.now
 	if v.failed {
 		v.failed = false
 		v.coldUntil = max(v.coldUntil, f.now+f.set.ColdSpan)
@@ -419,10 +379,6 @@
 		slots = f.set.KindSlots[v.Kind]
 	}
 	perS := slots / (float64(f.set.ColdSpan) / float64(Second)) * f.set.ColdFrom * f.set.ColdTimes
-	if v.pace.at == 0 {
-		v.pace.at = f.now
-		v.pace.tokens = 1
-	}
 	return v.pace.fill(f.now, perS*paceMargin/float64(max(f.set.Fleet, 1)), 1)
 }
 
@@ -430,21 +386,20 @@
 
 // candidates ranks the holders that may take a session now: by use, tally and distance.
 func (f *Front) candidates(s *session) []*server {
-	type ranked struct {
-		v     *server
-		score float64
-	}
-	var list []ranked
+	var list []*server
 	collect := func(evenOpen bool) {
 		for _, v := range f.fleet.order {
-			if !f.holds(v, s) || s.hasTried(v) || f.cold(v) || f.open(v, s) != evenOpen {
+			if !f.holds(v, s) || v == s.from || s.hasTried(v) || f.cold(v) || f.open(v, s) != evenOpen {
 				continue
 			}
-			score := f.busy(v) + tallyWeight*v.bad.sum(f.now, tallyWindow)
+			v.score = f.busy(v) + tallyWeight*v.bad.sum(f.now, tallyWindow)
 			if v.Zone != f.set.Zone {
-				score += f.set.PriceCross
+				v.score += f.set.PriceCross
+			}
+			if s.from != nil && v.rack == s.from.rack {
+				v.score++ // it was moved off that rack: only if nothing else has room
 			}
-			list = append(list, ranked{v, score})
+			list = append(list, v)
 		}
 	}
 	collect(false)
@@ -452,45 +407,31 @@
 		collect(true)
 	}
 	sort.SliceStable(list, func(i, j int) bool { return list[i].score < list[j].score })
-	var out []*server
-	for _, r := range list[:min(len(list), listLen)] {
-		out = append(out, r.v)
-	}
-	return out
+	return list[:min(len(list), listLen)]
 }
 
 // place sends a session to the best-ranked holder with room, or the next on its list.
 func (f *Front) place(s *session) {
-	if s.unsure && f.class(s).Paid {
-		f.do(Fail{s.ID})
-		f.forget(s)
-		return
-	}
-	if s.attempts > 0 && (f.now >= s.Deadline-lastTry || s.attempts >= f.set.MaxAttempts || !f.mayRetry()) {
+	if s.attempts > 0 && (f.now >= s.Deadline-lastTry || s.attempts >= f.set.MaxAttempts ||
+		s.unsure && f.class(s).Paid || !f.mayRetry()) {
 		f.giveUp(s)
 		return
 	}
-	if s.Moved && len(s.list) == 0 && len(s.tried) > 0 && s.attempts == 0 {
-		// Another rack than the one it came from, if any has room.
-		from := s.tried[0].rack
-		for _, v := range f.candidates(s) {
-			if v.rack != from {
-				s.list = append(s.list, v)
-			}
-		}
-	} else if s.attempts == 0 || len(s.list) == 0 {
+	if s.attempts == 0 || len(s.list) == 0 {
 		s.list = f.candidates(s)
 	}
-	floor := f.kb(s, f.class(s).Floor)
-	for _, v := range s.list {
-		link, uplink := f.room(v, mark)
-		if v.listed && !s.hasTried(v) && !f.open(v, s) && !f.cold(v) && floor <= min(link, uplink) && f.seat(s) {
-			f.send(s, v, f.choose(s, v))
-			return
-		}
-	}
-	for _, v := range s.list {
-		if v.listed && !s.hasTried(v) && !f.cold(v) && !(f.class(s).Paid && f.open(v, s)) && f.seat(s) {
+	seats := f.class(s).Seats
+	free := seats <= 0 || f.count(s.Class, s.Title) < seats
+	for pass := 0; pass < 2 && free; pass++ {
+		for _, v := range s.list {
+			if !v.listed || s.hasTried(v) || f.cold(v) {
+				continue
+			}
+			// First the ordinary path; where no holder has room, what lowering early sessions gives.
+			link, uplink := f.room(v, mark)
+			if pass == 0 && (f.open(v, s) || f.kb(s, f.class(s).Floor) > min(link, uplink)) {
+				continue
+			}
 			if rung := f.choose(s, v); rung >= 0 {
 				f.send(s, v, rung)
 				return
@@ -511,28 +452,13 @@
 	}
 }
 
-// retryHeld looks for room for the requests held.
-func (f *Front) retryHeld() {
+// retryHeld looks for room for the requests held: all, or those only whose time is up.
+func (f *Front) retryHeld(due bool) {
 	for _, s := range append([]*session(nil), f.waiting...) {
-		f.place(s)
-	}
-}
-
-// seat tells whether the class's seats for the title leave one free.
-func (f *Front) seat(s *session) bool {
-	seats := f.class(s).Seats
-	if seats <= 0 {
-		return true
-	}
-	n := 0
-	for _, v := range f.fleet.order {
-		for _, o := range v.held {
-			if o.Class == s.Class && o.Title == s.Title {
-				n++
-			}
+		if !due || f.now >= s.holding {
+			f.place(s)
 		}
 	}
-	return n < seats
 }
 
 // mayRetry keeps further attempts within a stated budget.
@@ -578,7 +504,7 @@
 	link, uplink := f.room(v, mark)
 	rung := f.highest(s, min(link, uplink))
 	if f.busy(v) < swapUnder {
-		link, uplink = max(link, 0), max(uplink, 0) // over the mark already: what a lowering frees may be used
+		link, uplink = max(link, 0), max(uplink, 0) // past the mark: what a lowering frees may be used
 	}
 	for n := 0; n < swapMost && rung < f.top(s); n++ {
 		var best *session
@@ -598,8 +524,8 @@
 						mine += freed
 					}
 					new := f.highest(s, min(mine, uplink+freed))
-					net := f.worth(s, new) - f.worth(s, rung) - f.worth(e, e.rung) + f.worth(e, r) - 2*f.change(e)
-					if net > most {
+					net := f.worth(s, new) - f.worth(s, rung) - f.worth(e, e.rung) + f.worth(e, r)
+					if net -= 2 * f.change(e); net > most {
 						best, to, got, most = e, r, new, net
 					}
 				}
@@ -618,26 +544,18 @@
 	return rung
 }
 
-func (f *Front) setRung(s *session, rung int) {
-	f.occupy(s, -1)
-	s.rung = rung
-	f.occupy(s, 1)
-	s.changed = f.now
-	f.do(Rate{s.ID, rung})
-}
-
 // giveUp ends a request at once.
 func (f *Front) giveUp(s *session) {
-	if f.now >= s.Deadline {
+	defer f.forget(s)
+	after := Time(0)
+	if f.set.RetryAfter {
+		after = Time(float64(f.set.MaxRetry) * (0.5 + 0.5*f.rng.Float64()))
+	}
+	if f.now >= s.Deadline || s.unsure && f.class(s).Paid {
 		f.do(Fail{s.ID})
-	} else {
-		after := Time(0)
-		if f.set.RetryAfter {
-			after = Time(float64(f.set.MaxRetry) * (0.5 + 0.5*f.rng.Float64()))
-		}
-		f.do(Refuse{s.ID, after})
+		return
 	}
-	f.forget(s)
+	f.do(Refuse{s.ID, after})
 }
 
 // ---- While sessions play ----
@@ -648,7 +566,6 @@
 	if s == nil || v == nil || s.at != v {
 		return
 	}
-	v.heardAt = f.now
 	switch e.Kind {
 	case NoteRung:
 		if r := int(e.Value); r >= 0 && r < len(f.set.RungKB) {
@@ -749,13 +666,13 @@
 
 // left is how long a session is expected to last yet.
 func (f *Front) left(s *session) Time {
-	if s.Hinted && !s.playing {
-		return s.Length
-	}
-	if s.Hinted {
+	switch {
+	case !s.Hinted:
+		return remains
+	case s.playing:
 		return max(s.Length-(f.now-s.started), 0)
 	}
-	return remains
+	return s.Length
 }
 
 func (f *Front) probe(v *server, stale Time) {
@@ -771,7 +688,7 @@
 func (f *Front) alarm() {
 	f.do(Timer{tokenTick, tick})
 	f.ticks++
-	f.retryHeld()
+	f.retryHeld(false)
 	if f.ticks%slowTick != 0 {
 		return
 	}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,660 @@
+package policy
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+// world drives one front by hand and collects what it does.
+type world struct {
+	t   *testing.T
+	f   *Front
+	now Time
+	got []Action
+}
+
+const start = 1000 * Second
+
+// settings: 4 servers of 1000 kB in 4 cells and 2 racks, a ladder of 4 rungs, a safe and a paid class.
+func settings() Settings {
+	return Settings{Fleet: 1, Classes: []Class{
+		{Aim: Second, Deadline: 4 * Second, Worth: 1, Scale: 1, Top: 3},
+		{Aim: Second, Deadline: 3 * Second, Worth: 2, Scale: 1, Top: 3, Paid: true}},
+		RungKB: []float64{50, 100, 200, 400}, RungWorth: []float64{0.2, 0.5, 0.8, 1},
+		FleetKB: 4000, RackKB: 2000, WeightKB: 1000, Racks: 2, Cells: 4, KindSlots: []float64{40},
+		SeeLate: Second / 2, StallCost: 8, ChangeCost: 0.5, Join: 1, Fields: []Field{FieldLink, FieldUplink},
+		Inline: true, MaxAttempts: 4, RetryAfter: true, MaxRetry: 2 * Second, DrainGrace: Second / 4}
+}
+
+func entry(id uint32) Entry { return Entry{Server: id, Cell: int(id) - 1, Size: 1} }
+
+func newWorld(t *testing.T, set Settings) *world {
+	w := &world{t: t, f: New(set, 1), now: start}
+	w.do(List{Kind: ListCached, Entries: []Entry{entry(1), entry(2), entry(3), entry(4)}})
+	return w
+}
+
+func (w *world) do(ev Event) []Action {
+	w.got = w.f.Handle(w.now, ev)
+	return w.got
+}
+
+// run lets time pass, with the housekeeping timer's alarms, and gives all that was done.
+func (w *world) run(d Time) (all []Action) {
+	for end := w.now + d; w.now < end; {
+		w.now += tick
+		all = append(all, w.do(Alarm{tokenTick})...)
+		all = append(all, w.do(Alarm{tokenHeld})...)
+	}
+	return all
+}
+
+func (w *world) ask(id uint64, class int) Ask {
+	return Ask{ID: id, Title: 7, Viewer: id, Class: class, Home: 0, Copies: 4, Top: 3, Deadline: w.now + 3*Second}
+}
+
+func of[T any](acts []Action) (out []T) {
+	for _, a := range acts {
+		if x, ok := a.(T); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func one[T any](t *testing.T, acts []Action) T {
+	t.Helper()
+	list := of[T](acts)
+	if len(list) != 1 {
+		t.Fatalf("want one %T, got %v", *new(T), acts)
+	}
+	return list[0]
+}
+
+func none[T any](t *testing.T, acts []Action) {
+	t.Helper()
+	if list := of[T](acts); len(list) > 0 {
+		t.Fatalf("want no %T, got %v", *new(T), acts)
+	}
+}
+
+// place sends a request and starts it; it gives the server.
+func (w *world) place(id uint64, class int) uint32 {
+	w.t.Helper()
+	s := one[Send](w.t, w.do(Request{w.ask(id, class)}))
+	w.do(Playing{ID: id, Server: s.Server})
+	return s.Server
+}
+
+func (w *world) use(server uint32, link, uplink float64) {
+	w.do(Probed{Server: server, Report: []float64{link, uplink}})
+}
+
+func (w *world) useAll(link float64) {
+	for id := uint32(1); id <= 4; id++ {
+		w.use(id, link, link)
+	}
+}
+
+func (w *world) end(id uint64, attempt int, server uint32, st Status) []Action {
+	return w.do(Outcome{ID: id, Attempt: attempt, Server: server, Status: st})
+}
+
+func TestBestRankedHolderUnderTheMarkAtTheHighestRung(t *testing.T) {
+	w := newWorld(t, settings())
+	w.use(1, 0.9, 0.1) // over the mark: dropped
+	w.use(2, 0.5, 0.1)
+	w.use(3, 0.3, 0.1) // least used
+	w.use(4, 0.6, 0.1)
+	acts := w.do(Request{w.ask(1, 0)})
+	if s := one[Send](t, acts); s.Server != 3 {
+		t.Fatalf("sent to %d, want 3", s.Server)
+	}
+	if r := one[Rate](t, acts); r.Rung != 3 {
+		t.Fatalf("rung %d, want 3", r.Rung)
+	}
+	// The next holder's link takes 0.2 more under the mark: a lower rung there.
+	a := w.ask(2, 0)
+	a.Home, a.Copies = 3, 1
+	if r := one[Rate](t, w.do(Request{a})); r.Rung != 2 {
+		t.Fatalf("rung %d, want 2", r.Rung)
+	}
+}
+
+func TestUplinkNearFullKeepsItsRackOut(t *testing.T) {
+	w := newWorld(t, settings())
+	w.use(1, 0.1, 0.95) // rack of servers 1 and 3
+	w.use(2, 0.5, 0.3)
+	if s := one[Send](t, w.do(Request{w.ask(1, 0)})); s.Server != 2 && s.Server != 4 {
+		t.Fatalf("sent to %d in a rack whose uplink is full", s.Server)
+	}
+}
+
+func TestTallyCountsInTheRanking(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.3)
+	s := one[Send](t, w.do(Request{w.ask(1, 0)}))
+	next := one[Send](t, w.end(1, 0, s.Server, Full))
+	if next.Server == s.Server {
+		t.Fatal("the same holder was tried again")
+	}
+	w.end(1, 1, next.Server, Full)
+	if got := w.place(9, 0); got == s.Server || got == next.Server {
+		t.Fatalf("sent to %d, which has just refused", got)
+	}
+}
+
+func TestOnlyHoldersAreSentTo(t *testing.T) {
+	w := newWorld(t, settings())
+	a := w.ask(1, 0)
+	a.Home, a.Copies = 3, 2 // cells 3 and 0
+	w.use(4, 0.5, 0.2)
+	w.use(1, 0.6, 0.2)
+	if s := one[Send](t, w.do(Request{a})); s.Server != 4 {
+		t.Fatalf("sent to %d, want 4", s.Server)
+	}
+}
+
+func TestListsFullDeltaCachedFailed(t *testing.T) {
+	w := newWorld(t, settings())
+	drained := entry(2)
+	drained.Health = Draining
+	w.do(List{Kind: ListDelta, Entries: []Entry{drained}})
+	w.do(List{Kind: ListFull, Entries: []Entry{entry(1), drained}}) // 3 and 4 are gone
+	for id := uint64(1); id <= 3; id++ {
+		if got := w.place(id, 0); got != 1 {
+			t.Fatalf("sent to %d, want 1", got)
+		}
+		w.end(id, 0, 1, OK)
+	}
+	ask := one[Timer](t, w.do(List{Kind: ListFailed}))
+	if got := w.place(4, 0); got != 1 {
+		t.Fatalf("after a failed list sent to %d, want 1", got)
+	}
+	w.now += ask.After
+	one[Follow](t, w.do(Alarm{ask.Token}))
+	removed := entry(1)
+	removed.Health = Removed
+	w.do(List{Kind: ListDelta, Entries: []Entry{removed}})
+	none[Send](t, w.do(Request{w.ask(5, 0)}))
+}
+
+func TestAFrontThatMustAskForTheListDoes(t *testing.T) {
+	set := settings()
+	set.AskList = true
+	w := &world{t: t, f: New(set, 1), now: start}
+	one[Follow](t, w.do(List{Kind: ListCached}))
+}
+
+func TestServerGoneWithSessionsOnIt(t *testing.T) {
+	w := newWorld(t, settings())
+	v := w.place(1, 0)
+	w.do(List{Kind: ListDelta, Entries: []Entry{{Server: v, Cell: int(v) - 1, Size: 1, Health: Removed}}})
+	acts := w.end(1, 0, v, ResetConn)
+	none[Send](t, acts)
+	none[Refuse](t, acts)
+	if got := w.place(2, 0); got == v {
+		t.Fatal("sent to a server that is gone")
+	}
+}
+
+func TestPaidTimeOutFailsAndIsNotSentAgain(t *testing.T) {
+	for _, st := range []Status{TimedOut, Errored, ResetConn, CancelledSt} {
+		w := newWorld(t, settings())
+		s := one[Send](t, w.do(Request{w.ask(1, 1)}))
+		if s.Timeout != 3*Second {
+			t.Fatalf("a paid attempt has %d ns, want all the time there is", s.Timeout)
+		}
+		acts := w.end(1, 0, s.Server, st)
+		one[Fail](t, acts)
+		none[Send](t, acts)
+		none[Refuse](t, acts)
+	}
+}
+
+func TestPaidThatNeverRanIsSentAgain(t *testing.T) {
+	for _, st := range []Status{Full, NoConnect} {
+		w := newWorld(t, settings())
+		s := one[Send](t, w.do(Request{w.ask(1, 1)}))
+		one[Send](t, w.end(1, 0, s.Server, st))
+	}
+}
+
+func TestSafeTimeOutGoesToTheNextHolderInsideTheAim(t *testing.T) {
+	w := newWorld(t, settings())
+	s := one[Send](t, w.do(Request{w.ask(1, 0)}))
+	if 2*s.Timeout >= Second {
+		t.Fatalf("two attempts of %d ns don't fit into the aim", s.Timeout)
+	}
+	w.now += s.Timeout
+	if n := one[Send](t, w.end(1, 0, s.Server, TimedOut)); n.Server == s.Server {
+		t.Fatal("the same server again")
+	}
+}
+
+func TestAttemptsEndInOneAnswer(t *testing.T) {
+	w := newWorld(t, settings())
+	acts := w.do(Request{w.ask(1, 0)})
+	answers := 0
+	for n := 0; len(of[Send](acts)) > 0; n++ {
+		s := one[Send](t, acts)
+		acts = w.end(1, n, s.Server, Full)
+		answers += len(of[Refuse](acts)) + len(of[Fail](acts))
+	}
+	acts = w.run(2 * Second)
+	answers += len(of[Refuse](acts)) + len(of[Fail](acts))
+	if answers != 1 {
+		t.Fatalf("%d answers, want 1", answers)
+	}
+}
+
+// A request that was held, sent and turned away has to be held, or answered, once more.
+func TestHeldTwiceIsStillAnswered(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.99)
+	a := w.ask(1, 0)
+	a.Copies = 1
+	none[Send](t, w.do(Request{a}))
+	w.now += 100 * Millisecond
+	w.use(1, 0.1, 0.1)
+	w.use(1, 0.1, 0.1)
+	w.use(1, 0.1, 0.1)
+	s := one[Send](t, w.do(Alarm{tokenTick}))
+	acts := append(w.end(1, 0, s.Server, Full), w.run(Second)...)
+	one[Refuse](t, acts)
+}
+
+func TestNoRoomIsABriefHoldThenARefusalWithAComeBackTime(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.99)
+	none[Refuse](t, w.do(Request{w.ask(1, 0)}))
+	r := one[Refuse](t, w.run(holdSpan+tick))
+	if r.After < Second || r.After > 2*Second {
+		t.Fatalf("come-back time %d", r.After)
+	}
+	set := settings()
+	set.RetryAfter = false
+	w = newWorld(t, set)
+	w.useAll(0.99)
+	w.do(Request{w.ask(1, 0)})
+	if r := one[Refuse](t, w.run(holdSpan+tick)); r.After != 0 {
+		t.Fatal("a come-back time where none is allowed")
+	}
+}
+
+func TestHoldEndsBeforeAnEarlyDeadline(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.99)
+	a := w.ask(1, 0)
+	a.Deadline = w.now + 50*Millisecond
+	timer := of[Timer](w.do(Request{a}))
+	w.now += timer[len(timer)-1].After
+	if w.now >= a.Deadline {
+		t.Fatal("the hold outlasts the deadline")
+	}
+	one[Refuse](t, w.do(Alarm{timer[len(timer)-1].Token}))
+}
+
+func TestHeldRequestProbesWhatKeepsItWaiting(t *testing.T) {
+	set := settings()
+	set.MayProbe = true
+	w := newWorld(t, set)
+	w.useAll(0.99)
+	w.now += 2 * Second
+	if n := len(of[Probe](w.do(Request{w.ask(1, 0)}))); n == 0 {
+		t.Fatal("old reports keep a request waiting and none is probed")
+	}
+	set.MayProbe = false
+	w = newWorld(t, set)
+	w.useAll(0.99)
+	w.now += 2 * Second
+	none[Probe](t, w.do(Request{w.ask(1, 0)}))
+}
+
+func TestSeatsCountSetUpsAndHandedSessions(t *testing.T) {
+	set := settings()
+	set.Classes[1].Seats = 2
+	w := newWorld(t, set)
+	w.do(Handed{Ask: w.ask(1, 1), Server: 1})
+	s := one[Send](t, w.do(Request{w.ask(2, 1)}))
+	none[Send](t, w.do(Request{w.ask(3, 1)}))
+	w.do(Gone{2}) // its attempt is still out, and so is its seat
+	none[Send](t, w.run(tick))
+	w.end(2, 0, s.Server, CancelledSt)
+	one[Send](t, w.run(tick))
+	other := w.ask(4, 1)
+	other.Title = 8
+	one[Send](t, w.do(Request{other}))
+}
+
+func TestFloorIsKept(t *testing.T) {
+	set := settings()
+	set.Classes[0].Floor = 1
+	w := newWorld(t, set)
+	for id := uint64(1); id <= 40; id++ {
+		for _, r := range of[Rate](w.do(Request{w.ask(id, 0)})) {
+			if r.Rung < 1 {
+				t.Fatal("under the floor at set-up")
+			}
+		}
+	}
+	for n := 0; n < 8; n++ {
+		w.now += 3 * Second
+		for _, r := range of[Rate](w.do(Note{ID: 1, Server: w.f.byID[1].at.Server, Kind: NoteShare, Value: 0.5})) {
+			if r.Rung < 1 {
+				t.Fatal("under the floor when short")
+			}
+		}
+	}
+}
+
+func TestFurtherAttemptsStayInTheirBudget(t *testing.T) {
+	set := settings()
+	set.Budgeted, set.SpareAttempts, set.Ratio, set.BudgetSpan = true, 1, 0, 10*Second
+	w := newWorld(t, set)
+	s := one[Send](t, w.do(Request{w.ask(1, 0)}))
+	s = one[Send](t, w.end(1, 0, s.Server, Full))
+	one[Refuse](t, w.end(1, 1, s.Server, Full))
+	w.now += 11 * Second
+	s = one[Send](t, w.do(Request{w.ask(2, 0)}))
+	one[Send](t, w.end(2, 0, s.Server, Full))
+}
+
+func cold() Settings {
+	set := settings()
+	set.ColdSpan, set.FallSpan, set.ColdFrom, set.ColdTimes, set.Fleet = 10*Second, 3*Second, 0.4, 3, 2
+	return set
+}
+
+// sendsIn counts set-ups to one server within a span, all of which start at once.
+func (w *world) sendsIn(d Time, server uint32) (n int) {
+	for end, id := w.now+d, uint64(w.now); w.now < end; w.now += 50 * Millisecond {
+		id++
+		a := w.ask(id, 0)
+		a.Home, a.Copies = int(server)-1, 1
+		for _, s := range of[Send](w.do(Request{a})) {
+			n++
+			w.do(Playing{ID: s.ID, Server: s.Server})
+			w.end(s.ID, 0, s.Server, OK)
+		}
+	}
+	return n
+}
+
+func TestColdServerIsPaced(t *testing.T) {
+	set := cold()
+	// 40 places over 10 s, 0.4 warm, times 3: 4.8 a second from all fronts; two fronts share that.
+	const most = 8
+	w := newWorld(t, set)
+	w.now += 60 * Second
+	told := entry(2)
+	told.Started = w.now - Second
+	w.do(List{Kind: ListDelta, Entries: []Entry{told}})
+	if n := w.sendsIn(3*Second, 2); n == 0 || n > most {
+		t.Fatalf("%d set-ups to a server told started, most %d", n, most)
+	}
+	if n := w.sendsIn(3*Second, 1); n <= most {
+		t.Fatalf("only %d set-ups to a warm server", n)
+	}
+}
+
+func TestServerSeenFailingIsPacedUntilWarm(t *testing.T) {
+	w := newWorld(t, cold())
+	w.now += 60 * Second
+	a := w.ask(1, 0)
+	a.Home, a.Copies = 2, 1
+	one[Send](t, w.do(Request{a}))
+	w.end(1, 0, 3, NoConnect)
+	w.now += 20 * Second
+	if n := w.sendsIn(3*Second, 3); n == 0 || n > 8 {
+		t.Fatalf("%d set-ups to a server that may have restarted", n)
+	}
+}
+
+func TestRestartedFrontPacesAllServers(t *testing.T) {
+	w := newWorld(t, cold())
+	if n := w.sendsIn(3*Second, 2); n == 0 || n > 8 {
+		t.Fatalf("%d set-ups from a front that can't know which servers are cold", n)
+	}
+}
+
+func TestBreakerOpensThenTriesOneSafeSession(t *testing.T) {
+	w := newWorld(t, settings())
+	fix := func(id uint64, class int) Ask {
+		a := w.ask(id, class)
+		a.Home, a.Copies = 1, 1
+		return a
+	}
+	s := one[Send](t, w.do(Request{fix(1, 0)}))
+	w.end(1, 0, s.Server, TimedOut)
+	w.now += 20 * Second
+	w.do(Request{fix(2, 1)})
+	none[Send](t, w.got) // paid: not the one to try it
+	one[Send](t, w.do(Request{fix(3, 0)}))
+	none[Send](t, w.do(Request{fix(4, 1)}))
+	w.do(Playing{ID: 3, Server: s.Server})
+	one[Send](t, w.do(Request{fix(5, 1)}))
+}
+
+func TestASingleErrorDoesNotOpenTheBreaker(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.2)
+	v := w.place(1, 0)
+	s := one[Send](t, w.do(Request{w.ask(2, 0)}))
+	w.end(2, 0, s.Server, Errored)
+	if w.f.fleet.get(s.Server).failed {
+		t.Fatal("open after one error")
+	}
+	_ = v
+}
+
+func TestAllHoldersOutStillTakeASafeRequest(t *testing.T) {
+	w := newWorld(t, settings())
+	for _, v := range w.f.fleet.order {
+		w.f.failing(v, 1, true)
+	}
+	one[Send](t, w.do(Request{w.ask(1, 0)}))
+	none[Send](t, w.do(Request{w.ask(2, 1)}))
+}
+
+func TestHungServerIsLeftAlone(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.5)
+	v := w.place(1, 0)
+	w.do(Note{ID: 1, Server: v, Kind: NoteShare, Value: 0.01})
+	w.use(v, 0.01, 0.3) // it reports low use
+	for id := uint64(2); id < 6; id++ {
+		if got := w.place(id, 0); got == v {
+			t.Fatal("sent to a server that delivers nothing")
+		}
+	}
+}
+
+func TestWithdrawnWhilePendingGetsNoAnswer(t *testing.T) {
+	w := newWorld(t, settings())
+	s := one[Send](t, w.do(Request{w.ask(1, 0)}))
+	w.do(Gone{1})
+	acts := w.end(1, 0, s.Server, TimedOut)
+	none[Send](t, acts)
+	none[Refuse](t, acts)
+	none[Fail](t, acts)
+	if own := w.f.fleet.get(s.Server).link.own; own != 0 {
+		t.Fatalf("%.0f kB still booked", own)
+	}
+}
+
+func TestLateAndUnknownIdsAreIgnored(t *testing.T) {
+	w := newWorld(t, settings())
+	s := one[Send](t, w.do(Request{w.ask(1, 0)}))
+	for _, ev := range []Event{Gone{77}, Playing{ID: 77, Server: 1}, Note{ID: 77, Server: 9, Kind: NoteShare},
+		Outcome{ID: 77, Server: 99, Report: []float64{1, 2, 3}}, Probed{Server: 99}, Alarm{12345},
+		Outcome{ID: 1, Attempt: 5, Server: s.Server}, Playing{ID: 1, Attempt: 3, Server: s.Server},
+		Handed{Ask: w.ask(5, 0), Server: 99}, Handed{Ask: Ask{ID: 6, Class: 44}, Server: 1}, "nonsense"} {
+		if acts := w.do(ev); len(acts) > 0 {
+			t.Fatalf("%#v led to %v", ev, acts)
+		}
+	}
+	one[Refuse](t, w.do(Request{Ask{ID: 8, Class: 44}}))
+}
+
+func TestMoveAfterTwoShortNotesToAnotherRackOnce(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.3)
+	v := w.place(1, 0)
+	short := Note{ID: 1, Server: v, Kind: NoteShare, Value: 0.8}
+	none[Move](t, w.do(short))
+	w.now += Second
+	one[Move](t, w.do(short))
+	w.now += Second
+	none[Move](t, w.do(short))
+	w.end(1, 0, v, CancelledSt)
+	back := w.ask(2, 0)
+	back.Viewer, back.Moved, back.Again = 1, true, true
+	s := one[Send](t, w.do(Request{back}))
+	if s.Server%2 == v%2 {
+		t.Fatalf("back in the rack it was moved off: %d", s.Server)
+	}
+	w.do(Playing{ID: 2, Server: s.Server})
+	for n := 0; n < 5; n++ {
+		w.now += 5 * Second
+		none[Move](t, w.do(Note{ID: 2, Server: s.Server, Kind: NoteShare, Value: 0.7}))
+	}
+}
+
+func TestMovesArePacedAndMustEarnTheirPrice(t *testing.T) {
+	count := func(price float64) (n int) {
+		set := settings()
+		set.PriceMove = price
+		w := newWorld(t, set)
+		for id := uint64(1); id <= 9; id++ {
+			w.do(Handed{Ask: w.ask(id, 0), Server: 1})
+			w.do(Note{ID: id, Server: 1, Kind: NoteRung, Value: 3})
+		}
+		w.place(20, 0) // sets what a typical session is worth
+		for i := 0; i < 4; i++ {
+			w.now += Second
+			n += len(of[Move](w.do(Note{ID: 9, Server: 1, Kind: NoteShare, Value: 0.85})))
+		}
+		return n
+	}
+	if n := count(0); n == 0 || n > movesBurst+2 {
+		t.Fatalf("%d moves in 4 s", n)
+	}
+	if n := count(5); n != 0 {
+		t.Fatalf("%d moves that cost more than they earn", n)
+	}
+}
+
+func TestShortNoteLowersRungsByWhatIsMissing(t *testing.T) {
+	w := newWorld(t, settings())
+	for id := uint64(1); id <= 5; id++ {
+		w.do(Handed{Ask: w.ask(id, 0), Server: 1})
+		w.do(Note{ID: id, Server: 1, Kind: NoteRung, Value: 2})
+	}
+	if n := len(of[Rate](w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.99}))); n != 0 {
+		t.Fatal("lowered though all is delivered")
+	}
+	w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.8})
+	if own := w.f.fleet.get(1).link.own; own > 800 || own < 500 {
+		t.Fatalf("own rate %.0f after lowering, want about 760 of 1000", own)
+	}
+	w.now += Second
+	none[Rate](t, w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.8})) // still the old news
+}
+
+func TestNewcomerWithoutRoomMakesEarlySessionsShare(t *testing.T) {
+	w := newWorld(t, settings())
+	for id := uint64(1); id <= 2; id++ {
+		w.do(Handed{Ask: w.ask(id, 0), Server: 1})
+		w.do(Note{ID: id, Server: 1, Kind: NoteRung, Value: 3})
+	}
+	w.now += 10 * Second
+	a := w.ask(3, 0)
+	a.Copies = 1
+	a.Hinted, a.Length = true, 30*Second // not started: lasts its whole hint
+	acts := w.do(Request{a})
+	one[Send](t, acts)
+	lowered := 0
+	for _, r := range of[Rate](acts) {
+		if r.ID != 3 {
+			lowered++
+		}
+	}
+	if lowered == 0 || lowered > swapMost {
+		t.Fatalf("%d lowered for a newcomer: %v", lowered, acts)
+	}
+	set := settings()
+	set.ChangeCost = 100
+	w = newWorld(t, set)
+	w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+	w.do(Note{ID: 1, Server: 1, Kind: NoteRung, Value: 3})
+	w.use(1, 0.8, 0.3)
+	for _, r := range of[Rate](w.do(Request{a})) {
+		if r.ID == 1 {
+			t.Fatal("lowered though the change costs more than it earns")
+		}
+	}
+}
+
+func TestLastingSpareRaisesARung(t *testing.T) {
+	w := newWorld(t, settings())
+	w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+	w.now += 10 * Second
+	w.use(1, 0.2, 0.2)
+	r := one[Rate](t, w.run(Second))
+	if r.ID != 1 || r.Rung != 3 {
+		t.Fatalf("%v", r)
+	}
+	w.use(1, 0.2, 0.2)
+	none[Rate](t, w.run(Second)) // at the top
+	w = newWorld(t, settings())
+	w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+	w.use(1, 0.85, 0.2)
+	none[Rate](t, w.run(Second)) // no spare under the mark
+}
+
+func TestTrafficOverATenantsShareYields(t *testing.T) {
+	set := settings()
+	set.Tenants, set.OverShare = []Tenant{{PerSecond: 1}}, 0.2
+	w := newWorld(t, set)
+	for id := uint64(1); id <= 6; id++ {
+		w.place(id, 0)
+	}
+	if in, over := w.f.byID[1].weight, w.f.byID[6].weight; in != 1 || over != 0.2 {
+		t.Fatalf("weights %.1f and %.1f", in, over)
+	}
+}
+
+func TestUseIsScaledByFleetWithoutAReport(t *testing.T) {
+	set := settings()
+	set.Fleet = 3
+	w := newWorld(t, set)
+	w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+	w.do(Note{ID: 1, Server: 1, Kind: NoteRung, Value: 2})
+	if got := w.f.load(&w.f.fleet.get(1).link, 0); got < 0.59 || got > 0.61 {
+		t.Fatalf("use %.2f, want 0.6", got)
+	}
+}
+
+func TestSameSeedSameActions(t *testing.T) {
+	play := func() string {
+		w := newWorld(t, cold())
+		var log []Action
+		for id := uint64(1); id <= 200; id++ {
+			w.now += 37 * Millisecond
+			acts := w.do(Request{w.ask(id, int(id%2))})
+			log = append(log, acts...)
+			for n, s := range of[Send](acts) {
+				if id%3 == 0 {
+					log = append(log, w.end(id, n, s.Server, TimedOut)...)
+				}
+			}
+			log = append(log, w.run(tick)...)
+		}
+		return fmt.Sprintf("%#v", log)
+	}
+	if a, b := play(), play(); !reflect.DeepEqual(a, b) {
+		t.Fatal("two fronts with one seed differ")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,8 +69,11 @@
 	at     Time
 }
 
-// fill brings the bucket up to date and gives what it holds.
+// fill brings the bucket up to date and gives what it holds. A new one is full.
 func (b *bucket) fill(now Time, perSecond, most float64) float64 {
+	if b.at == 0 {
+		b.tokens, b.at = most, now
+	}
 	b.tokens = min(most, b.tokens+perSecond*float64(now-b.at)/float64(Second))
 	b.at = now
 	return b.tokens
@@ -94,12 +97,12 @@
 	coldUntil Time     // paced until then
 	pace      bucket
 
-	heardAt  Time // last sign of life from sessions playing here
 	shortAt  Time // last short note
 	share    float64
 	shorts   int // short notes in a row under the moving limit
 	shedAt   Time
 	probing  bool
+	score    float64 // its place in the ranking last made
 	probedAt Time
 }
 
@@ -125,6 +128,7 @@
 	list     []*server
 	tried    []*server
 	moved    bool
+	from     *server // the server that a move took it off
 }
 
 func (s *session) hasTried(v *server) bool {
@@ -262,3 +266,48 @@
 	}
 	return d < s.Copies
 }
+
+// count gives how many sessions of a class and title this front holds, set-ups included.
+func (f *Front) count(class int, title uint64) (n int) {
+	for _, v := range f.fleet.order {
+		for _, o := range v.held {
+			if o.Class == class && o.Title == title {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// gone notes that a viewer left. While an attempt is out its seat and rate stay taken.
+func (f *Front) gone(id uint64) {
+	s := f.byID[id]
+	if s == nil {
+		return
+	}
+	if s.at != nil {
+		s.left = true
+		return
+	}
+	f.forget(s)
+}
+
+// handed books a session that plays already.
+func (f *Front) handed(h Handed) {
+	v := f.fleet.get(h.Server)
+	if v == nil || !f.usable(&h.Ask) {
+		return
+	}
+	s := f.take(h.Ask)
+	s.attempts, s.playing, s.started = 1, true, f.now
+	f.enter(s, v)
+}
+
+// setRung changes the rung in force.
+func (f *Front) setRung(s *session, rung int) {
+	f.occupy(s, -1)
+	s.rung = rung
+	f.occupy(s, 1)
+	s.changed = f.now
+	f.do(Rate{s.ID, rung})
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,24 @@
+#!/bin/sh
+# The project's whole check: format, vet, tests with the race detector, and the decision module's limits.
+set -eu
+cd "$(dirname "$0")/.."
+
+unformatted=$(gofmt -l .)
+if [ -n "$unformatted" ]; then
+	echo "gofmt would change: $unformatted" >&2
+	exit 1
+fi
+go vet ./...
+go test -race ./...
+
+lines=$(grep -c '[^[:space:]]' policy/policy.go)
+if [ "$lines" -gt 680 ]; then
+	echo "policy/policy.go has $lines lines that are not blank, 680 at most" >&2
+	exit 1
+fi
+# A tab counts as four columns.
+if expand -t 4 policy/policy.go | awk 'length > 110 { print "policy/policy.go:" NR ": " length " characters"; bad = 1 } END { exit !bad }' >&2; then
+	echo "lines of policy/policy.go hold 110 characters at most" >&2
+	exit 1
+fi
+echo "policy/policy.go: $lines lines, 680 at most"
