A new front does not pace servers that report others' sessions

A server just started cannot carry others' sessions, so such a report frees it; a server told started or seen failing is paced as before. Also covers fronts switched on anew. Harm: a cold server whose link another program fills would be taken for warm by a new front.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 	hungShare   = 0.1                // a share under this is a server that stands still
 	errorsTrip  = 2                  // errors in the window that open the breaker, if not outnumbered
 	paceMargin  = 0.5                // part of the pushing-over pace that all fronts together may use
+	busyIsWarm  = 0.25               // use by other fronts' sessions that a server just started does not have
 	shortNote   = 0.97               // a share under this calls for lower rungs
 	shedTarget  = 0.95               // use that lowering aims for
 	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
@@ -365,9 +366,12 @@
 	return v.failed && (f.class(s).Paid || v.trial != nil)
 }
 
-// paced tells whether a server may be cold for all this front knows.
+// paced tells whether a server may be cold for all this front knows: it failed, it was told started, or
+// this front is itself new and has no report that the server carries others' sessions, as one just
+// started would not. Harm: a new front is slow to fill idle servers.
 func (f *Front) paced(v *server) bool {
-	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || f.now-f.born < f.set.ColdSpan)
+	unknown := f.now-f.born < f.set.ColdSpan && !(v.link.told && f.others(&v.link) > busyIsWarm)
+	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
 
 // cold tells whether a set-up must wait for the pace of a server that may be cold.
@@ -389,7 +393,11 @@
 	var list []*server
 	collect := func(evenOpen bool) {
 		for _, v := range f.fleet.order {
-			if !f.holds(v, s) || v == s.from || s.hasTried(v) || f.cold(v) || f.open(v, s) != evenOpen {
+			if !f.holds(v, s) || v == s.from || s.hasTried(v) || f.open(v, s) != evenOpen {
+				continue
+			}
+			if f.cold(v) {
+				f.probe(v, probeBlock) // its report may tell that it is warm
 				continue
 			}
 			v.score = f.busy(v) + tallyWeight*v.bad.sum(f.now, tallyWindow)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -419,6 +419,22 @@
 	}
 }
 
+// A restarted front refused viewers over the pace of servers that were plainly long under way.
+func TestRestartedFrontTrustsServersThatCarryOthersSessions(t *testing.T) {
+	w := newWorld(t, cold())
+	w.use(2, 0.5, 0.3)
+	if n := w.sendsIn(3*Second, 2); n <= 8 {
+		t.Fatalf("only %d set-ups to a server that carries others' sessions", n)
+	}
+	told := entry(2)
+	told.Started = w.now
+	w.do(List{Kind: ListDelta, Entries: []Entry{told}})
+	w.use(2, 0.5, 0.3)
+	if n := w.sendsIn(3*Second, 2); n > 8 {
+		t.Fatalf("%d set-ups to a server told started", n)
+	}
+}
+
 func TestBreakerOpensThenTriesOneSafeSession(t *testing.T) {
 	w := newWorld(t, settings())
 	fix := func(id uint64, class int) Ask {
