--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"math/rand"
 	"sort"
 )
 
@@ -32,6 +31,8 @@
 	errorsTrip  = 2                  // errors in the window that open the breaker, if not outnumbered
 	paceMargin  = 0.5                // part of the pushing-over pace that all fronts together may use
 	busyIsWarm  = 0.25               // use by other fronts' sessions that a server just started does not have
+	meanStart   = 0.4                // use by others that a server is taken to have before any report
+	meanBlend   = 0.1                // weight of a report in the fleet's average
 	shortNote   = 0.97               // a share under this calls for lower rungs
 	shedTarget  = 0.95               // use that lowering aims for
 	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
@@ -47,6 +48,8 @@
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
 	swapUnder   = 0.94        // estimated use up to which lowering makes room past the mark
 	swapMost    = 3           // early sessions lowered for one newcomer
+	probesStart = 3.0         // probes a new front may make at once
+	probesMost  = 10.0        // and most it may save up
 	probeEach   = 0.6         // probes earned by each request taken
 	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
 	probeStale  = 2 * Second  // a report older than this is worth a probe
@@ -64,12 +67,8 @@
 
 // New makes a front.
 func New(set Settings, seed uint64) *Front {
-	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{}, born: -1,
-		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}, probes: 3}
-	for i := 0; i < max(set.Racks, 1); i++ {
-		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1)}})
-	}
-	f.tenants = make([]bucket, len(set.Tenants))
+	f := newFront(set, seed)
+	f.born, f.mean, f.probes = -1, meanStart, probesStart
 	return f
 }
 
@@ -130,21 +129,14 @@
 		}
 	}
 	for _, e := range l.Entries {
-		v := f.fleet.get(e.Server)
-		if v == nil {
-			v = &server{Entry: e}
-			f.fleet.add(v)
-		} else if e.Started > v.Started {
-			// A new process: what was known of the old one says nothing of it.
+		v, restarted := f.book(e)
+		if restarted { // what was known of the old process says nothing of the new one
 			v.link.told, v.openUntil, v.backoff, v.failed = false, 0, 0, false
 			v.pace = bucket{at: f.now}
 		}
-		v.Entry, v.listed = e, e.Health == Ready
-		if f.set.ColdSpan > 0 && e.Started > 0 && e.Started+f.set.ColdSpan > f.now {
+		if e.Started > 0 && e.Started+f.set.ColdSpan > f.now {
 			v.coldUntil = max(v.coldUntil, e.Started+f.set.ColdSpan)
 		}
-		v.rack = f.racks[e.Cell%len(f.racks)]
-		v.link.cap = max(e.Size*f.set.WeightKB, 1)
 	}
 }
 
@@ -178,12 +170,24 @@
 		use = blend*use + (1-blend)*max(now, 0)
 	}
 	m.use, m.useOwn, m.useAt, m.told = use, m.ownAt(at), max(at, m.useAt), true
+	if m.parts == nil {
+		f.mean += (min(max(use-m.useOwn/m.cap, 0), 1) - f.mean) * meanBlend
+	}
 }
 
 // others is the use of a meter that is not this front's own: the last report less the own part then.
 // As it ages it gives way to the fleet's average, which also stands for servers not yet heard from.
 func (f *Front) others(m *meter) float64 {
-	avg := m.own / m.cap * float64(f.set.Fleet-1)
+	avg := f.mean
+	if m.own > 0 {
+		avg = (f.mean + m.own/m.cap*float64(f.set.Fleet-1)) / 2
+	}
+	if m.parts != nil && !m.told { // an uplink not heard of carries what its servers' links carry
+		avg = 0
+		for _, v := range m.parts {
+			avg += f.others(&v.link) * v.link.cap / m.cap
+		}
+	}
 	if !m.told {
 		return avg
 	}
@@ -221,22 +225,6 @@
 	return rung
 }
 
-// worth is what a session earns at a rung over the time it is expected to last.
-func (f *Front) worth(s *session, rung int) float64 {
-	if rung < 0 {
-		return 0
-	}
-	return s.weight * f.set.RungWorth[rung] * float64(f.left(s)) / float64(Second)
-}
-
-// change is what a change of rung costs once the session plays.
-func (f *Front) change(s *session) float64 {
-	if !s.playing {
-		return 0
-	}
-	return s.weight * f.set.ChangeCost
-}
-
 // busy is the fuller of link and uplink.
 func (f *Front) busy(v *server) float64 {
 	return max(f.load(&v.link, 0)/f.warmth(v), f.load(&v.rack.meter, 0))
@@ -254,7 +242,7 @@
 	}
 	s := f.take(a)
 	f.taken.add(f.now, 1)
-	f.probes = min(f.probes+probeEach, 10)
+	f.probes = min(f.probes+probeEach, probesMost)
 	f.share(s)
 	if a.Moved {
 		s.moved = true
@@ -697,11 +685,10 @@
 	f.do(Timer{tokenTick, tick})
 	f.ticks++
 	f.retryHeld(false)
-	if f.ticks%slowTick != 0 {
-		return
-	}
-	for _, v := range f.fleet.order {
-		f.raise(v)
+	if f.ticks%slowTick == 0 {
+		for _, v := range f.fleet.order {
+			f.raise(v)
+		}
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -653,6 +653,34 @@
 	}
 }
 
+// A restarted front took servers that it had not heard from for idle and gave out top rungs.
+func TestUnheardServersCountAsTheFleetsAverage(t *testing.T) {
+	set := settings()
+	set.Fleet = 3
+	w := newWorld(t, set)
+	for n := 0; n < 20; n++ {
+		w.use(1, 0.75, 0.3)
+		w.use(3, 0.75, 0.3)
+	}
+	a := w.ask(1, 0)
+	a.Home, a.Copies = 1, 1
+	if r := one[Rate](t, w.do(Request{a})); r.Rung > 1 {
+		t.Fatalf("rung %d on a server not heard from while the others are full", r.Rung)
+	}
+}
+
+func TestAnUplinkNotHeardOfCarriesItsServers(t *testing.T) {
+	set := settings()
+	set.Fields = []Field{FieldUtil}
+	w := newWorld(t, set)
+	for id := uint32(1); id <= 4; id++ {
+		w.do(Probed{Server: id, Report: []float64{0.5}})
+	}
+	if got := w.f.load(&w.f.racks[0].meter, 0); got < 0.49 || got > 0.51 {
+		t.Fatalf("uplink use %.2f, want the 0.5 of its two servers", got)
+	}
+}
+
 func TestSameSeedSameActions(t *testing.T) {
 	play := func() string {
 		w := newWorld(t, cold())
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 	useOwn  float64 // own rate when that was measured
 	useAt   Time    // when it was measured
 	told    bool
+	parts   []*server // for an uplink: the servers behind it
 }
 
 type change struct {
@@ -199,6 +200,7 @@
 	extra   tally
 	ticks   int
 
+	mean              float64 // average use by other fronts' sessions, from reports
 	typical, typicalN float64 // mean worth of a session, and over how many
 }
 
@@ -311,3 +313,46 @@
 	s.changed = f.now
 	f.do(Rate{s.ID, rung})
 }
+
+// worth is what a session earns at a rung over the time it is expected to last.
+func (f *Front) worth(s *session, rung int) float64 {
+	if rung < 0 {
+		return 0
+	}
+	return s.weight * f.set.RungWorth[rung] * float64(f.left(s)) / float64(Second)
+}
+
+// change is what a change of rung costs once the session plays.
+func (f *Front) change(s *session) float64 {
+	if !s.playing {
+		return 0
+	}
+	return s.weight * f.set.ChangeCost
+}
+
+// book takes a list entry over and tells whether it is a newer process than the one known.
+func (f *Front) book(e Entry) (v *server, restarted bool) {
+	v = f.fleet.get(e.Server)
+	if v == nil {
+		v = &server{Entry: e}
+		f.fleet.add(v)
+	}
+	restarted = e.Started > v.Started
+	v.Entry, v.listed = e, e.Health == Ready
+	if k := f.racks[e.Cell%len(f.racks)]; k != v.rack {
+		v.rack, k.parts = k, append(k.parts, v)
+	}
+	v.link.cap = max(e.Size*f.set.WeightKB, 1)
+	return v, restarted
+}
+
+// newFront makes empty records for the settings.
+func newFront(set Settings, seed uint64) *Front {
+	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{},
+		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}}
+	for i := 0; i < max(set.Racks, 1); i++ {
+		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1)}})
+	}
+	f.tenants = make([]bucket, len(set.Tenants))
+	return f
+}
