--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,7 +34,6 @@
 	meanStart   = 0.4                // use by others that a server is taken to have before any report
 	meanBlend   = 0.1                // weight of a report in the fleet's average
 	shortNote   = 0.97               // a share under this calls for lower rungs
-	shedTarget  = 0.95               // use that lowering aims for
 	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
 	moveShare   = 0.9                // the design's share under which sessions move
 	moveNotes   = 2                  // and the notes it takes
@@ -611,7 +610,7 @@
 // shed lowers own sessions at a short server until the own rate has come down by what is missing.
 func (f *Front) shed(v *server, share float64) {
 	v.shedAt = f.now
-	target := v.link.own * share * shedTarget
+	target := v.link.own * share * mark
 	for v.link.own > target {
 		var best *session
 		to, least := 0, math.Inf(1)
