--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,6 @@
 	meanBlend   = 0.1                // weight of a report in the fleet's average
 	shortNote   = 0.97               // a share under this calls for lower rungs
 	shedTarget  = 0.95               // use that lowering aims for
-	shedWorse   = 0.04               // a share lower by this than the one acted on is news: notes are smoothed
 	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
 	moveShare   = 0.9                // the design's share under which sessions move
 	moveNotes   = 2                  // and the notes it takes
@@ -601,12 +600,8 @@
 		v.shorts++
 	}
 	f.probe(v, 0)
-	if f.now-v.shedAt > f.set.SeeLate+shedPause {
-		v.shed = 1 // what was lowered before shows in the notes by now
-	}
-	if share < min(shortNote, v.shed-shedWorse) && share >= hungShare {
-		f.shed(v, share/v.shed)
-		v.shed = share
+	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
+		f.shed(v, share)
 	}
 	if v.shorts >= moveNotes {
 		f.moveOff(v)
--- a/policy/state.go
+++ b/policy/state.go
@@ -102,7 +102,6 @@
 	share    float64
 	shorts   int // short notes in a row under the moving limit
 	shedAt   Time
-	shed     float64 // the share that lowering has answered so far; 1: none
 	probing  bool
 	score    float64 // its place in the ranking last made
 	probedAt Time
