--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	movesBurst  = 2
 	raiseGap    = 0.06        // spare under the mark that a raise needs
 	raiseCalm   = 4 * Second  // no short note for so long before a raise
+	raiseFresh  = 8 * Second  // nor on a report older than this
 	restRung    = 5 * Second  // a session's rung rests so long between changes
 	remains     = 20 * Second // a session is taken to last so long yet, without a hint
 	swapUnder   = 0.94        // estimated use up to which lowering makes room past the mark
@@ -692,31 +693,33 @@
 	}
 }
 
-// raise gives lasting spare to the session that gains most by it, one a second on each rack.
+// raise gives lasting spare to the sessions that gain most by it. Other fronts see the same spare: this
+// one takes its part of it.
 func (f *Front) raise(v *server) {
-	link, uplink := f.room(v, mark-raiseGap)
-	if f.now-v.rack.raisedAt < Second/2 || f.now-v.shortAt < raiseCalm || min(link, uplink) <= 0 || v.failed {
+	if f.now-v.shortAt < raiseCalm || v.failed || len(v.held) == 0 {
 		return
 	}
-	if !v.link.told || f.now-v.link.useAt > 3*Second {
-		if len(v.held) > 0 {
-			f.probe(v, probeStale)
-		}
+	if !v.link.told || f.now-v.link.useAt > raiseFresh {
+		f.probe(v, probeStale)
 		return
 	}
-	var best *session
-	to, most := 0, 0.0
-	for _, s := range v.held {
-		if !s.playing || s.left || f.now-s.changed < restRung {
-			continue
+	for {
+		link, uplink := f.room(v, mark-raiseGap)
+		part := min(link, uplink) / float64(max(f.set.Fleet, 1))
+		var best *session
+		to, most := 0, 0.0
+		for _, s := range v.held {
+			if !s.playing || s.left || f.now-s.changed < restRung {
+				continue
+			}
+			r := f.highest(s, part+f.kb(s, s.rung))
+			if net := f.worth(s, r) - f.worth(s, s.rung) - 2*f.change(s); r > s.rung && net > most {
+				best, to, most = s, r, net
+			}
 		}
-		r := f.highest(s, min(link, uplink)+f.kb(s, s.rung))
-		if net := f.worth(s, r) - f.worth(s, s.rung) - 2*f.change(s); r > s.rung && net > most {
-			best, to, most = s, r, net
+		if best == nil {
+			return
 		}
-	}
-	if best != nil {
 		f.setRung(best, to)
-		v.rack.raisedAt = f.now
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -109,7 +109,6 @@
 
 type rack struct {
 	meter
-	raisedAt Time
 }
 
 // session is a request from its arrival to its end.
