--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	busyIsWarm  = 0.25               // use by other fronts' sessions that a server just started does not have
 	meanStart   = 0.4                // use by others that a server is taken to have before any report
 	meanBlend   = 0.1                // weight of a report in the fleet's average
-	shortNote   = 0.97               // a share under this calls for lower rungs
+	shortNote   = 0.95               // a share under this calls for lower rungs
 	shedTarget  = 0.95               // use that lowering aims for
 	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
 	moveShare   = 0.9                // the design's share under which sessions move
