--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,53 +10,55 @@
 
 // Tuned values, each with its reason.
 const (
-	mark        = 0.88               // use that a set-up may bring a link to; the rest is for wandering rates
-	listLen     = 20                 // holders on the fallback list (the paper's K)
-	tallyWindow = 10 * Second        // how long failures count in the ranking
-	tallyWeight = 0.1                // use that one failure counts for in the ranking
-	holdSpan    = 300 * Millisecond  // a request without a holder waits so long for room
-	tick        = 100 * Millisecond  // housekeeping
-	slowTick    = 10                 // ticks between raises
-	reportLag   = 400 * Millisecond  // a report is about this old when it comes
-	keepChanges = 5 * Second         // own changes remembered, longer than any note is late
-	staleHalf   = 8 * Second         // a report counts half after this
-	blend       = 0.5                // weight of a new report against a fresh estimate: reports are noisy
-	blendWithin = 4 * Second         // an estimate is fresh so long
-	tryShare    = 0.42               // part of the aim that one attempt may take, so that two fit
-	lastTry     = 20 * Millisecond   // no attempt is begun with less time left
-	askAgain    = 1 * Second         // a failed call for the server list is made again after this
-	backoffMin  = 1 * Second         // breaker: first pause
-	backoffMax  = 8 * Second         // breaker: longest pause
-	hungShare   = 0.1                // a share under this is a server that stands still
-	errorsTrip  = 2                  // errors in the window that open the breaker, if not outnumbered
-	paceMargin  = 0.5                // part of the pushing-over pace that all fronts together may use
-	busyIsWarm  = 0.25               // use by other fronts' sessions that a server just started does not have
-	meanStart   = 0.4                // use by others that a server is taken to have before any report
-	meanBlend   = 0.1                // weight of a report in the fleet's average
-	shortNote   = 0.95               // a share under this calls for lower rungs
-	shedTarget  = 0.95               // use that lowering aims for
-	shedPause   = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
-	moveShare   = 0.9                // the design's share under which sessions move
-	moveNotes   = 2                  // and the notes it takes
-	moveLasts   = 3 * Second         // each short note in a row lets expect so much more shortness
-	moveGap     = 1.0                // seconds of worth that a move takes beside its price
-	movesPerS   = 0.5                // front-wide pace of moves
-	movesBurst  = 2
-	raiseGap    = 0.06        // spare under the mark that a raise needs
-	raiseCalm   = 4 * Second  // no short note for so long before a raise
-	raiseFresh  = 8 * Second  // nor on a report older than this
-	restRung    = 5 * Second  // a session's rung rests so long between changes
-	remains     = 20 * Second // a session is taken to last so long yet, without a hint
-	swapUnder   = 0.94        // estimated use up to which lowering makes room past the mark
-	swapMost    = 3           // early sessions lowered for one newcomer
-	probesStart = 3.0         // probes a new front may make at once
-	probesMost  = 10.0        // and most it may save up
-	probeEach   = 0.6         // probes earned by each request taken
-	probeBlock  = 1 * Second  // and older than this where it keeps a request waiting
-	probeStale  = 2 * Second  // a report older than this is worth a probe
-	typicalOver = 50.0        // first tries over which the worth of a typical session is averaged
-	pastMost    = 1000        // moved viewers remembered
-	overBurst   = 4.0         // seconds of a tenant's share it may use at once
+	mark         = 0.88               // use that a set-up may bring a link to; the rest is for wandering rates
+	listLen      = 20                 // holders on the fallback list (the paper's K)
+	tallyWindow  = 10 * Second        // how long failures count in the ranking
+	tallyWeight  = 0.1                // use that one failure counts for in the ranking
+	holdSpan     = 300 * Millisecond  // a request without a holder waits so long for room
+	tick         = 100 * Millisecond  // housekeeping
+	slowTick     = 10                 // ticks between raises
+	reportLag    = 400 * Millisecond  // a report is about this old when it comes
+	keepChanges  = 5 * Second         // own changes remembered, longer than any note is late
+	staleHalf    = 8 * Second         // a report counts half after this
+	blend        = 0.5                // weight of a new report against a fresh estimate: reports are noisy
+	blendWithin  = 4 * Second         // an estimate is fresh so long
+	tryShare     = 0.42               // part of the aim that one attempt may take, so that two fit
+	lastTry      = 20 * Millisecond   // no attempt is begun with less time left
+	askAgain     = 1 * Second         // a failed call for the server list is made again after this
+	backoffMin   = 1 * Second         // breaker: first pause
+	backoffMax   = 8 * Second         // breaker: longest pause
+	hungShare    = 0.1                // a share under this is a server that stands still
+	errorsTrip   = 2                  // errors in the window that open the breaker, if not outnumbered
+	paceMargin   = 0.5                // part of the pushing-over pace that all fronts together may use
+	busyIsWarm   = 0.25               // use by other fronts' sessions that a server just started does not have
+	meanStart    = 0.4                // use by others that a server is taken to have before any report
+	meanBlend    = 0.1                // weight of a report in the fleet's average
+	shortNote    = 0.95               // a share under this calls for lower rungs
+	shedTarget   = 0.95               // use that lowering aims for
+	rackTogether = 1500 * Millisecond // servers of a rack short within this and alike share its uplink's trouble
+	rackLike     = 0.08               // shares that count as alike
+	shedPause    = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
+	moveShare    = 0.9                // the design's share under which sessions move
+	moveNotes    = 2                  // and the notes it takes
+	moveLasts    = 3 * Second         // each short note in a row lets expect so much more shortness
+	moveGap      = 1.0                // seconds of worth that a move takes beside its price
+	movesPerS    = 0.5                // front-wide pace of moves
+	movesBurst   = 2
+	raiseGap     = 0.06        // spare under the mark that a raise needs
+	raiseCalm    = 4 * Second  // no short note for so long before a raise
+	raiseFresh   = 8 * Second  // nor on a report older than this
+	restRung     = 5 * Second  // a session's rung rests so long between changes
+	remains      = 20 * Second // a session is taken to last so long yet, without a hint
+	swapUnder    = 0.94        // estimated use up to which lowering makes room past the mark
+	swapMost     = 3           // early sessions lowered for one newcomer
+	probesStart  = 3.0         // probes a new front may make at once
+	probesMost   = 10.0        // and most it may save up
+	probeEach    = 0.6         // probes earned by each request taken
+	probeBlock   = 1 * Second  // and older than this where it keeps a request waiting
+	probeStale   = 2 * Second  // a report older than this is worth a probe
+	typicalOver  = 50.0        // first tries over which the worth of a typical session is averaged
+	pastMost     = 1000        // moved viewers remembered
+	overBurst    = 4.0         // seconds of a tenant's share it may use at once
 )
 
 // Tokens of the timers.
@@ -585,15 +587,21 @@
 		v.shorts = 0
 		return
 	}
+	m, held, like := &v.link, v.held, false
+	for _, o := range v.rack.parts {
+		like = like || o != v && f.now-o.shortAt < rackTogether && math.Abs(o.share-share) < rackLike
+	}
+	if like && f.load(&v.rack.meter, 0) > f.load(m, 0) {
+		m, held = &v.rack.meter, nil
+		for _, o := range v.rack.parts {
+			held = append(held, o.held...)
+		}
+	}
 	v.share, v.shortAt = share, f.now
 	v.bad.add(f.now, 1-share)
 	if share < hungShare {
 		f.failing(v, 1, true)
 	} else {
-		m := &v.link
-		if f.load(&v.rack.meter, 0) > f.load(m, 0) {
-			m = &v.rack.meter
-		}
 		at := f.now - f.set.SeeLate
 		m.use, m.useOwn, m.useAt, m.told = 1/share, m.ownAt(at), max(at, m.useAt), true
 	}
@@ -601,24 +609,24 @@
 		v.shorts++
 	}
 	f.probe(v, 0)
-	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
-		f.shed(v, share)
+	if share < shortNote && share >= hungShare && f.now-m.shedAt > f.set.SeeLate+shedPause {
+		m.shedAt = f.now
+		f.shed(m, held, share)
 	}
 	if v.shorts >= moveNotes {
 		f.moveOff(v)
 	}
 }
 
-// shed lowers own sessions at a short server until the own rate has come down by what is missing.
-func (f *Front) shed(v *server, share float64) {
-	v.shedAt = f.now
-	target := v.link.own * share * shedTarget
-	for v.link.own > target {
+// shed lowers own sessions on a short link or uplink until the own rate has come down by what is missing.
+func (f *Front) shed(m *meter, held []*session, share float64) {
+	target := m.own * share * shedTarget
+	for m.own > target {
 		var best *session
 		to, least := 0, math.Inf(1)
-		for _, s := range v.held {
+		for _, s := range held {
 			for r := s.rung - 1; r >= f.class(s).Floor && !s.left; r-- {
-				freed := min(f.kb(s, s.rung)-f.kb(s, r), v.link.own-target)
+				freed := min(f.kb(s, s.rung)-f.kb(s, r), m.own-target)
 				if cost := (f.worth(s, s.rung) - f.worth(s, r) + f.change(s)) / freed; cost < least {
 					best, to, least = s, r, cost
 				}
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 	useOwn  float64 // own rate when that was measured
 	useAt   Time    // when it was measured
 	told    bool
+	shedAt  Time      // when sessions on it were last lowered for being short
 	parts   []*server // for an uplink: the servers behind it
 }
 
@@ -101,7 +102,6 @@
 	shortAt  Time // last short note
 	share    float64
 	shorts   int // short notes in a row under the moving limit
-	shedAt   Time
 	probing  bool
 	score    float64 // its place in the ranking last made
 	probedAt Time
