--- a/policy/policy.go
+++ b/policy/policy.go
@@ -621,6 +621,9 @@
 // shed lowers own sessions on a short link or uplink until the own rate has come down by what is missing.
 func (f *Front) shed(m *meter, held []*session, share float64) {
 	target := m.own * share * shedTarget
+	if m.parts != nil {
+		target = m.own * share * mark // an uplink in trouble stays so for longer than rates wander
+	}
 	for m.own > target {
 		var best *session
 		to, least := 0, math.Inf(1)
