Blame a rack's uplink only when several of its servers are short alike

Cause: one server's short link was booked on its uplink whenever that was estimated fuller, and the whole rack was kept out. A short uplink gives all its servers the same share at once; that tells it from a short link. The error tally is folded into the failure tally.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,13 +10,12 @@
 
 // Tuned values, each with its reason.
 const (
-	mark         = 0.88               // use that a set-up may bring a link to; the rest is for wandering rates
+	mark         = 0.88               // use that a set-up may bring a link to; rates wander
 	listLen      = 20                 // holders on the fallback list (the paper's K)
 	tallyWindow  = 10 * Second        // how long failures count in the ranking
 	tallyWeight  = 0.1                // use that one failure counts for in the ranking
 	holdSpan     = 300 * Millisecond  // a request without a holder waits so long for room
 	tick         = 100 * Millisecond  // housekeeping
-	slowTick     = 10                 // ticks between raises
 	reportLag    = 400 * Millisecond  // a report is about this old when it comes
 	keepChanges  = 5 * Second         // own changes remembered, longer than any note is late
 	staleHalf    = 8 * Second         // a report counts half after this
@@ -30,12 +29,12 @@
 	hungShare    = 0.1                // a share under this is a server that stands still
 	errorsTrip   = 2                  // errors in the window that open the breaker, if not outnumbered
 	paceMargin   = 0.5                // part of the pushing-over pace that all fronts together may use
-	busyIsWarm   = 0.25               // use by other fronts' sessions that a server just started does not have
+	busyIsWarm   = 0.25               // use by others that a server just started does not have
 	meanStart    = 0.4                // use by others that a server is taken to have before any report
 	meanBlend    = 0.1                // weight of a report in the fleet's average
 	shortNote    = 0.95               // a share under this calls for lower rungs
 	shedTarget   = 0.95               // use that lowering aims for
-	rackTogether = 1500 * Millisecond // servers of a rack short within this and alike share its uplink's trouble
+	rackTogether = 1500 * Millisecond // servers of a rack short alike within this blame the uplink
 	rackLike     = 0.08               // shares that count as alike
 	shedPause    = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
 	moveShare    = 0.9                // the design's share under which sessions move
@@ -102,10 +101,7 @@
 	case Gone:
 		f.gone(e.ID)
 	case Probed:
-		if v := f.fleet.get(e.Server); v != nil {
-			v.probing = false
-			f.report(v, e.Report)
-		}
+		f.probed(e)
 	case Alarm:
 		switch e.Token {
 		case tokenTick:
@@ -147,11 +143,9 @@
 
 // report books the load values that a server sent.
 func (f *Front) report(v *server, values []float64) {
-	for i, x := range values {
-		if i >= len(f.set.Fields) {
-			break
-		}
-		switch f.set.Fields[i] {
+	for i, field := range f.set.Fields[:min(len(f.set.Fields), len(values))] {
+		x := values[i]
+		switch field {
 		case FieldLink:
 			f.told(&v.link, x, reportLag)
 		case FieldUtil:
@@ -304,8 +298,7 @@
 	switch e.Status {
 	case Errored:
 		s.unsure = true
-		v.errors.add(f.now, 1)
-		n := v.errors.sum(f.now, tallyWindow)
+		n := 1 + v.bad.sum(f.now, tallyWindow)
 		f.failing(v, 1, n >= errorsTrip && n >= v.good.sum(f.now, tallyWindow))
 	case ResetConn, TimedOut, NoConnect:
 		s.unsure = s.unsure || e.Status != NoConnect
@@ -587,15 +580,13 @@
 		v.shorts = 0
 		return
 	}
-	m, held, like := &v.link, v.held, false
+	// A short uplink shows at several of its servers at once and alike; else it is the server's own link.
+	m, like := &v.link, false
 	for _, o := range v.rack.parts {
 		like = like || o != v && f.now-o.shortAt < rackTogether && math.Abs(o.share-share) < rackLike
 	}
 	if like && f.load(&v.rack.meter, 0) > f.load(m, 0) {
-		m, held = &v.rack.meter, nil
-		for _, o := range v.rack.parts {
-			held = append(held, o.held...)
-		}
+		m = &v.rack.meter
 	}
 	v.share, v.shortAt = share, f.now
 	v.bad.add(f.now, 1-share)
@@ -609,27 +600,24 @@
 		v.shorts++
 	}
 	f.probe(v, 0)
-	if share < shortNote && share >= hungShare && f.now-m.shedAt > f.set.SeeLate+shedPause {
-		m.shedAt = f.now
-		f.shed(m, held, share)
+	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
+		f.shed(v, share)
 	}
 	if v.shorts >= moveNotes {
 		f.moveOff(v)
 	}
 }
 
-// shed lowers own sessions on a short link or uplink until the own rate has come down by what is missing.
-func (f *Front) shed(m *meter, held []*session, share float64) {
-	target := m.own * share * shedTarget
-	if m.parts != nil {
-		target = m.own * share * mark // an uplink in trouble stays so for longer than rates wander
-	}
-	for m.own > target {
+// shed lowers own sessions at a short server until the own rate has come down by what is missing.
+func (f *Front) shed(v *server, share float64) {
+	v.shedAt = f.now
+	target := v.link.own * share * shedTarget
+	for v.link.own > target {
 		var best *session
 		to, least := 0, math.Inf(1)
-		for _, s := range held {
+		for _, s := range v.held {
 			for r := s.rung - 1; r >= f.class(s).Floor && !s.left; r-- {
-				freed := min(f.kb(s, s.rung)-f.kb(s, r), m.own-target)
+				freed := min(f.kb(s, s.rung)-f.kb(s, r), v.link.own-target)
 				if cost := (f.worth(s, s.rung) - f.worth(s, r) + f.change(s)) / freed; cost < least {
 					best, to, least = s, r, cost
 				}
@@ -697,7 +685,7 @@
 	f.do(Timer{tokenTick, tick})
 	f.ticks++
 	f.retryHeld(false)
-	if f.ticks%slowTick == 0 {
+	if f.ticks%int(Second/tick) == 0 {
 		for _, v := range f.fleet.order {
 			f.raise(v)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -579,6 +579,25 @@
 	none[Rate](t, w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.8})) // still the old news
 }
 
+// One server's short link was booked on its uplink, and the whole rack was kept out.
+func TestShortNotesAreTheUplinksOnlyWhenServersAreShortAlike(t *testing.T) {
+	w := newWorld(t, settings())
+	for id := uint32(1); id <= 3; id += 2 { // both in one rack
+		w.do(Handed{Ask: w.ask(uint64(id), 0), Server: id})
+		w.use(id, 0.5, 0.8)
+	}
+	up := &w.f.racks[0].meter
+	w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.8})
+	if up.use > 1 || w.f.fleet.get(1).link.use < 1.2 {
+		t.Fatalf("one short server: uplink %.2f, link %.2f", up.use, w.f.fleet.get(1).link.use)
+	}
+	w.now += 200 * Millisecond
+	w.do(Note{ID: 3, Server: 3, Kind: NoteShare, Value: 0.82})
+	if up.use < 1.2 || w.f.fleet.get(3).link.use > 1 {
+		t.Fatalf("two short alike: uplink %.2f, link %.2f", up.use, w.f.fleet.get(3).link.use)
+	}
+}
+
 func TestNewcomerWithoutRoomMakesEarlySessionsShare(t *testing.T) {
 	w := newWorld(t, settings())
 	for id := uint64(1); id <= 2; id++ {
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,7 +16,6 @@
 	useOwn  float64 // own rate when that was measured
 	useAt   Time    // when it was measured
 	told    bool
-	shedAt  Time      // when sessions on it were last lowered for being short
 	parts   []*server // for an uplink: the servers behind it
 }
 
@@ -90,7 +89,6 @@
 	held   []*session // set up or playing here, oldest first
 
 	bad, good tally // failures by weight, and successes
-	errors    tally
 
 	openUntil Time // circuit breaker: no set-ups before this
 	backoff   Time
@@ -101,7 +99,8 @@
 
 	shortAt  Time // last short note
 	share    float64
-	shorts   int // short notes in a row under the moving limit
+	shedAt   Time // when sessions here were last lowered for being short
+	shorts   int  // short notes in a row under the moving limit
 	probing  bool
 	score    float64 // its place in the ranking last made
 	probedAt Time
@@ -355,3 +354,11 @@
 	f.tenants = make([]bucket, len(set.Tenants))
 	return f
 }
+
+// probed books what a probe brought.
+func (f *Front) probed(e Probed) {
+	if v := f.fleet.get(e.Server); v != nil {
+		v.probing = false
+		f.report(v, e.Report)
+	}
+}
