--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,56 +8,48 @@
 	"sort"
 )
 
-// Tuned values, each with its reason.
+// Tuned values, each with its reason. Those marked "page" are the design page's starting values.
 const (
-	mark         = 0.88               // use that a set-up may bring a link to; rates wander
-	listLen      = 20                 // holders on the fallback list (the paper's K)
-	tallyWindow  = 10 * Second        // how long failures count in the ranking
-	tallyWeight  = 0.1                // use that one failure counts for in the ranking
-	holdSpan     = 300 * Millisecond  // a request without a holder waits so long for room
-	tick         = 100 * Millisecond  // housekeeping
-	reportLag    = 400 * Millisecond  // a report is about this old when it comes
-	keepChanges  = 5 * Second         // own changes remembered, longer than any note is late
-	staleHalf    = 8 * Second         // a report counts half after this
-	blend        = 0.5                // weight of a new report against a fresh estimate: reports are noisy
-	blendWithin  = 4 * Second         // an estimate is fresh so long
-	tryShare     = 0.42               // part of the aim that one attempt may take, so that two fit
-	lastTry      = 20 * Millisecond   // no attempt is begun with less time left
-	askAgain     = 1 * Second         // a failed call for the server list is made again after this
-	backoffMin   = 1 * Second         // breaker: first pause
-	backoffMax   = 8 * Second         // breaker: longest pause
-	hungShare    = 0.1                // a share under this is a server that stands still
-	errorsTrip   = 2                  // errors in the window that open the breaker, if not outnumbered
-	paceMargin   = 0.5                // part of the pushing-over pace that all fronts together may use
-	busyIsWarm   = 0.25               // use by others that a server just started does not have
-	meanStart    = 0.4                // use by others that a server is taken to have before any report
-	meanBlend    = 0.1                // weight of a report in the fleet's average
-	shortNote    = 0.95               // a share under this calls for lower rungs
-	shedTarget   = 0.95               // use that lowering aims for
-	rackTogether = 1500 * Millisecond // servers of a rack short alike within this blame the uplink
-	rackLike     = 0.08               // shares that count as alike
-	shedPause    = 1200 * Millisecond // after lowering, wait so long beyond the lateness of notes
-	moveShare    = 0.9                // the design's share under which sessions move
-	moveNotes    = 2                  // and the notes it takes
-	moveLasts    = 3 * Second         // each short note in a row lets expect so much more shortness
-	moveGap      = 1.0                // seconds of worth that a move takes beside its price
-	movesPerS    = 0.5                // front-wide pace of moves
-	movesBurst   = 2
-	raiseGap     = 0.06        // spare under the mark that a raise needs
-	raiseCalm    = 4 * Second  // no short note for so long before a raise
-	raiseFresh   = 8 * Second  // nor on a report older than this
-	restRung     = 5 * Second  // a session's rung rests so long between changes
-	remains      = 20 * Second // a session is taken to last so long yet, without a hint
-	swapUnder    = 0.94        // estimated use up to which lowering makes room past the mark
-	swapMost     = 3           // early sessions lowered for one newcomer
-	probesStart  = 3.0         // probes a new front may make at once
-	probesMost   = 10.0        // and most it may save up
-	probeEach    = 0.6         // probes earned by each request taken
-	probeBlock   = 1 * Second  // and older than this where it keeps a request waiting
-	probeStale   = 2 * Second  // a report older than this is worth a probe
-	typicalOver  = 50.0        // first tries over which the worth of a typical session is averaged
-	pastMost     = 1000        // moved viewers remembered
-	overBurst    = 4.0         // seconds of a tenant's share it may use at once
+	mark      = 0.88 // use a set-up may bring a link to (page: 0.85); 0.78 and 0.94 both lost
+	listLen   = 20   // holders on the fallback list (page, and the paper's K)
+	moveShare = 0.9  // a share under this (page)
+	moveNotes = 2    // on so many notes lets sessions move (page)
+
+	tallyWindow, tallyWeight = 10 * Second, 0.1        // how long failures count; the use each counts for
+	failWeight, heavyWeight  = 1.0, 2.0                // a failure in the tally; one that cost a time-out
+	fullWeight               = 0.5                     // a refusal: it says more of the moment
+	holdSpan                 = 300 * Millisecond       // a brief hold: three looks for room
+	tick, askAgain           = Second / 10, 1 * Second // housekeeping; a failed list call is repeated
+	tryShare, lastTry        = 0.42, Second / 50       // of the aim an attempt, so two fit; none begun later
+
+	reportLag, keepChanges  = 4 * Second / 10, 5 * Second // age of a report that comes; past any lateness
+	staleHalf, meanBlend    = 8 * Second, 0.1             // a report's half-life; its weight in the average
+	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
+	meanStart               = 0.4                         // others' use before any report: a moderate day
+	utilEnd, utilTrust      = 0.99, 2 * Second            // a use that ends at 1 is mute after a short note
+	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
+	probeEach               = 0.6                         // probes a request earns: half a point at most
+	probesStart, probesMost = 3.0, 10.0                   // probes at the start, and at most saved up
+	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if it blocks a request, else
+
+	backoffMin, backoffMax = 1 * Second, 8 * Second // breaker's pauses: outages last 5 to 30 s
+	errorsTrip             = 2                      // failures that open it, if not outnumbered
+	hungShare              = 0.1                    // a share under this: it stands still, is not full
+	paceMargin             = 0.5                    // part of the pushing-over pace all fronts may use
+	busyIsWarm             = 0.25                   // use by others that one just started lacks
+
+	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
+	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
+	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
+	movesPerS, movesBurst = 0.5, 2                 // the front-wide pace of moves
+	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
+	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
+	changeTwice           = 2.0                    // a swap or raise earns its price so often
+	swapUnder, swapMost   = 0.94, 3                // lowering makes room up to this use; so many at once
+	remains               = 20 * Second            // a session lasts so long yet, without a hint
+	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
+	pastMost, overBurst   = 1000, 4.0              // moved viewers kept; seconds of a share usable at once
+	waitLeast             = 0.5                    // least part of the come-back time: spread them out
 )
 
 // Tokens of the timers.
@@ -150,7 +142,7 @@
 			f.told(&v.link, x, reportLag)
 		case FieldUtil:
 			// Stops at 1: while notes tell of a short link it says nothing new.
-			if x < 0.99 || f.now-v.shortAt > 2*Second {
+			if x < utilEnd || f.now-v.shortAt > utilTrust {
 				f.told(&v.link, x, reportLag)
 			}
 		case FieldUplink:
@@ -252,7 +244,8 @@
 	f.place(s)
 }
 
-// share weighs traffic beyond a tenant's share at what it is worth, so that it yields under pressure.
+// share weighs traffic beyond a tenant's share at what it is worth, so that it yields under pressure and
+// one tenant's rush can't crowd out another. Harm: fronts see uneven parts, so some is misjudged.
 func (f *Front) share(s *session) {
 	if s.Tenant >= len(f.tenants) {
 		return
@@ -290,7 +283,7 @@
 	f.leave(s)
 	if s.playing || e.Status == OK {
 		if e.Status == ResetConn {
-			f.failing(v, 1, true)
+			f.failing(v, failWeight, true)
 		}
 		f.forget(s)
 		return
@@ -299,12 +292,12 @@
 	case Errored:
 		s.unsure = true
 		n := 1 + v.bad.sum(f.now, tallyWindow)
-		f.failing(v, 1, n >= errorsTrip && n >= v.good.sum(f.now, tallyWindow))
+		f.failing(v, failWeight, n >= errorsTrip && n >= v.good.sum(f.now, tallyWindow))
 	case ResetConn, TimedOut, NoConnect:
 		s.unsure = s.unsure || e.Status != NoConnect
-		f.failing(v, 2, true)
+		f.failing(v, heavyWeight, true)
 	case Full:
-		v.bad.add(f.now, 0.5)
+		v.bad.add(f.now, fullWeight)
 	case Moot:
 	default:
 		s.unsure = true
@@ -318,7 +311,8 @@
 
 // ---- Health ----
 
-// failing books a failure. With trip it opens the breaker.
+// failing books a failure. With trip the breaker opens: a server that hangs, vanished, died or fails set-ups
+// fast would eat attempts while it reports low use. Harm: a server slow for a moment rests a second.
 func (f *Front) failing(v *server, weight float64, trip bool) {
 	v.bad.add(f.now, weight)
 	if !trip || f.now < v.openUntil {
@@ -329,7 +323,7 @@
 	v.failed = true
 }
 
-// proved books a success: the breaker closes. A server that was seen failing may have restarted.
+// proved books a success: the breaker closes. A server that was seen failing may have restarted, cold.
 func (f *Front) proved(v *server) {
 	v.good.add(f.now, 1)
 	if v.failed {
@@ -341,8 +335,8 @@
 	}
 }
 
-// open tells whether the breaker keeps a session off: after a failure for a while, and then for
-// all but one safe session until that has started.
+// open tells whether the breaker keeps a session off: after a failure for a while, then (half-open) for all
+// but one safe session until that has started. Paid set-ups, which can't be repeated, never try it.
 func (f *Front) open(v *server, s *session) bool {
 	if f.now < v.openUntil {
 		return true
@@ -358,7 +352,8 @@
 	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
 
-// cold tells whether a set-up must wait for the pace of a server that may be cold.
+// cold guards a server that may be cold from being pushed over: one token bucket, this front's part of the
+// pace. Also covers crowds coming back to a server. Harm: it fills a little later than it could.
 func (f *Front) cold(v *server) bool { return f.paced(v) && f.fillPace(v) < 1 }
 
 func (f *Front) fillPace(v *server) float64 {
@@ -402,7 +397,8 @@
 	return list[:min(len(list), listLen)]
 }
 
-// place sends a session to the best-ranked holder with room, or the next on its list.
+// place sends a session to the best-ranked holder with room, or the next on its list. A paid one that may
+// have run is never sent again nor refused; no second attempt goes out before the first one's outcome.
 func (f *Front) place(s *session) {
 	if s.attempts > 0 && (f.now >= s.Deadline-lastTry || s.attempts >= f.set.MaxAttempts ||
 		s.unsure && f.class(s).Paid || !f.mayRetry()) {
@@ -453,7 +449,7 @@
 	}
 }
 
-// mayRetry keeps further attempts within a stated budget.
+// mayRetry keeps further attempts within a stated budget, against storms of retries.
 func (f *Front) mayRetry() bool {
 	if !f.set.Budgeted {
 		return true
@@ -517,7 +513,7 @@
 					}
 					new := f.highest(s, min(mine, uplink+freed))
 					net := f.worth(s, new) - f.worth(s, rung) - f.worth(e, e.rung) + f.worth(e, r)
-					if net -= 2 * f.change(e); net > most {
+					if net -= changeTwice * f.change(e); net > most {
 						best, to, got, most = e, r, new, net
 					}
 				}
@@ -541,7 +537,7 @@
 	defer f.forget(s)
 	after := Time(0)
 	if f.set.RetryAfter {
-		after = Time(float64(f.set.MaxRetry) * (0.5 + 0.5*f.rng.Float64()))
+		after = Time(float64(f.set.MaxRetry) * (waitLeast + (1-waitLeast)*f.rng.Float64()))
 	}
 	if f.now >= s.Deadline || s.unsure && f.class(s).Paid {
 		f.do(Fail{s.ID})
@@ -574,9 +570,10 @@
 	}
 }
 
-// short acts on a note that tells the share delivered at a server.
+// short acts on a note that tells the share delivered at a server, whatever took the rest: too many
+// sessions, a neighbour, a sagging uplink or a server that stands still.
 func (f *Front) short(v *server, share float64) {
-	if share >= 0.98 {
+	if share >= fullShare {
 		v.shorts = 0
 		return
 	}
@@ -591,7 +588,7 @@
 	v.share, v.shortAt = share, f.now
 	v.bad.add(f.now, 1-share)
 	if share < hungShare {
-		f.failing(v, 1, true)
+		f.failing(v, failWeight, true)
 	} else {
 		at := f.now - f.set.SeeLate
 		m.use, m.useOwn, m.useAt, m.told = 1/share, m.ownAt(at), max(at, m.useAt), true
@@ -608,7 +605,8 @@
 	}
 }
 
-// shed lowers own sessions at a short server until the own rate has come down by what is missing.
+// shed lowers own sessions at a short server until the own rate has come down by what is missing. Each
+// front there does its part. Harm: a moment's shortness costs rung changes.
 func (f *Front) shed(v *server, share float64) {
 	v.shedAt = f.now
 	target := v.link.own * share * shedTarget
@@ -641,7 +639,7 @@
 		}
 		// The longer a server has been short, the longer it is expected to stay so.
 		lasts := min(f.left(s), Time(v.shorts)*moveLasts)
-		lost := s.weight * f.set.RungWorth[s.rung] * min(f.set.StallCost*(0.98-v.share), 1)
+		lost := s.weight * f.set.RungWorth[s.rung] * min(f.set.StallCost*(fullShare-v.share), 1)
 		if lost*float64(lasts)/float64(Second) < f.set.PriceMove*f.typical+moveGap*s.weight {
 			continue
 		}
@@ -712,7 +710,7 @@
 				continue
 			}
 			r := f.highest(s, part+f.kb(s, s.rung))
-			if net := f.worth(s, r) - f.worth(s, s.rung) - 2*f.change(s); r > s.rung && net > most {
+			if net := f.worth(s, r) - f.worth(s, s.rung) - changeTwice*f.change(s); r > s.rung && net > most {
 				best, to, most = s, r, net
 			}
 		}
