--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -171,7 +172,7 @@
 	if m.own > 0 {
 		avg = (f.mean + m.own/m.cap*float64(f.set.Fleet-1)) / 2
 	}
-	if m.parts != nil && !m.told { // an uplink not heard of carries what its servers' links carry
+	if m.parts != nil && !slices.Contains(f.set.Fields, FieldUplink) { // an uplink never reported carries what its servers' links carry
 		avg = 0
 		for _, v := range m.parts {
 			avg += f.others(&v.link) * v.link.cap / m.cap
