Count own additions since a report for the other fronts too

Each front saw the same room in the same report and filled it alone. Told from a slow link by its being everywhere and at once with no server standing out, and from a crowd by the estimate being low. The additions since the report are now scaled by the fleet, as the page's own use is. Also covers bursts that reach all fronts. Harm: a front with a crowd of its own refuses room that the others do not use, until the next report.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	reportLag, keepChanges  = 4 * Second / 10, 5 * Second // age of a report that comes; past any lateness
 	staleHalf, meanBlend    = 8 * Second, 0.1             // a report's half-life; its weight in the average
 	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
+	alikePart               = 1.0                         // part of the own additions since a report that each other front made too
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	utilEnd, utilTrust      = 0.99, 2 * Second            // a use that ends at 1 is mute after a short note
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
@@ -181,8 +182,10 @@
 	if !m.told {
 		return avg
 	}
+	// What this front has added since, the others that saw the same room are taken to have added too.
+	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1) * alikePart
 	w := math.Exp2(-float64(f.now-m.useAt) / float64(staleHalf))
-	return w*max(m.use-m.useOwn/m.cap, 0) + (1-w)*avg
+	return w*(max(m.use-m.useOwn/m.cap, 0)+unseen) + (1-w)*avg
 }
 
 // load is the estimated use of a meter with kb more.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -721,3 +721,20 @@
 		t.Fatal("two fronts with one seed differ")
 	}
 }
+
+// With six fronts each filled the same room at once, and all uplinks ran short (incident i7c5a69).
+func TestOwnAdditionsSinceAReportCountForTheOtherFrontsToo(t *testing.T) {
+	room := func(fleet int) float64 {
+		set := settings()
+		set.Fleet = fleet
+		w := newWorld(t, set)
+		w.now += 10 * Second
+		w.useAll(0.3)
+		w.now += Second
+		w.place(1, 0)
+		return w.f.load(&w.f.byID[1].at.link, 0)
+	}
+	if alone, six := room(1), room(6); six < alone+0.5 {
+		t.Fatalf("estimated use %.2f alone, %.2f beside five others", alone, six)
+	}
+}
