--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,7 +26,7 @@
 	reportLag, keepChanges  = 4 * Second / 10, 5 * Second // age of a report that comes; past any lateness
 	staleHalf, meanBlend    = 8 * Second, 0.1             // a report's half-life; its weight in the average
 	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
-	alikePart               = 1.0                         // of own additions since a report, for each other front
+	alikePart               = 1.0                         // of own late additions, for each other front
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	utilEnd, utilTrust      = 0.99, 2 * Second            // a use that ends at 1 is mute after a short note
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
