--- a/policy/policy.go
+++ b/policy/policy.go
@@ -160,7 +160,7 @@
 		now := m.use + (m.ownAt(at)-m.useOwn)/m.cap
 		use = blend*use + (1-blend)*max(now, 0)
 	}
-	m.use, m.useOwn, m.useAt, m.told = use, m.ownAt(at), max(at, m.useAt), true
+	m.set(use, at)
 	if m.parts == nil {
 		f.mean += (min(max(use-m.useOwn/m.cap, 0), 1) - f.mean) * meanBlend
 	}
@@ -302,6 +302,7 @@
 		f.failing(v, heavyWeight, true)
 	case Full:
 		v.bad.add(f.now, fullWeight)
+		v.link.set(max(f.set.FullFrom, 1), f.now) // whatever its report said: that much is asked of it
 	case Moot:
 	default:
 		s.unsure = true
@@ -594,8 +595,7 @@
 	if share < hungShare {
 		f.failing(v, failWeight, true)
 	} else {
-		at := f.now - f.set.SeeLate
-		m.use, m.useOwn, m.useAt, m.told = 1/share, m.ownAt(at), max(at, m.useAt), true
+		m.set(1/share, f.now-f.set.SeeLate)
 	}
 	if share < moveShare {
 		v.shorts++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// A server that turned everything away as full kept its low report and was tried first by every request.
+func TestTurnedAwayAsFullCountsAsAReport(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.3)
+	w.now += 2 * Second
+	s := one[Send](t, w.do(Request{w.ask(1, 0)}))
+	w.end(1, 0, s.Server, Full)
+	a := w.ask(2, 0)
+	a.Home, a.Copies = int(s.Server)-1, 1
+	none[Send](t, w.do(Request{a}))
+}
+
 func TestOnlyHoldersAreSentTo(t *testing.T) {
 	w := newWorld(t, settings())
 	a := w.ask(1, 0)
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,6 +46,11 @@
 	return max(own, 0)
 }
 
+// set books a use as measured at a time.
+func (m *meter) set(use float64, at Time) {
+	m.use, m.useOwn, m.useAt, m.told = use, m.ownAt(at), max(at, m.useAt), true
+}
+
 // tally counts weighted events over a sliding window.
 type tally struct{ marks []change }
 
