--- a/policy/policy.go
+++ b/policy/policy.go
@@ -179,13 +179,16 @@
 			avg += f.others(&v.link) * v.link.cap / m.cap
 		}
 	}
+	most := max(mark-m.own/m.cap, 0) // the other fronts keep to the mark too: no guess goes past it
+	avg = min(avg, most)
 	if !m.told {
 		return avg
 	}
+	known := max(m.use-m.useOwn/m.cap, 0)
 	// What this front has added since, the others that saw the same room are taken to have added too.
 	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1) * alikePart
 	w := math.Exp2(-float64(f.now-m.useAt) / float64(staleHalf))
-	return w*(max(m.use-m.useOwn/m.cap, 0)+unseen) + (1-w)*avg
+	return w*max(known, min(known+unseen, most)) + (1-w)*avg
 }
 
 // load is the estimated use of a meter with kb more.
