--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	utilEnd, utilTrust      = 0.99, 2 * Second            // a use that ends at 1 is mute after a short note
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
-	probeEach               = 0.6                         // probes a request earns: half a point at most
+	probeEach               = 1.2                         // probes a request earns: half a point at most
 	probesStart, probesMost = 3.0, 10.0                   // probes at the start, and at most saved up
 	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if it blocks a request, else
 
