--- a/policy/policy.go
+++ b/policy/policy.go
@@ -141,11 +141,11 @@
 		x := values[i]
 		switch field {
 		case FieldLink:
-			f.told(&v.link, x, reportLag)
+			f.told(&v.link, x*f.warmth(v), reportLag)
 		case FieldUtil:
 			// Stops at 1: while notes tell of a short link it says nothing new.
 			if x < utilEnd || f.now-v.shortAt > utilTrust {
-				f.told(&v.link, x, reportLag)
+				f.told(&v.link, x*f.warmth(v), reportLag)
 			}
 		case FieldUplink:
 			f.told(&v.rack.meter, x, reportLag)
@@ -194,7 +194,7 @@
 // load is the estimated use of a meter with kb more.
 func (f *Front) load(m *meter, kb float64) float64 { return f.others(m) + (m.own+kb)/m.cap }
 
-// warmth is the part of its link that a server just started gives, at the least.
+// warmth is the part of its link a server just started gives at the least; its reports are parts of that.
 func (f *Front) warmth(v *server) float64 {
 	if f.now >= v.coldUntil || f.set.ColdSpan <= 0 {
 		return 1
@@ -305,7 +305,7 @@
 		f.failing(v, heavyWeight, true)
 	case Full:
 		v.bad.add(f.now, fullWeight)
-		v.link.set(max(f.set.FullFrom, 1), f.now) // whatever its report said: that much is asked of it
+		v.link.set(max(f.set.FullFrom, 1)*f.warmth(v), f.now) // whatever its report said
 	case Moot:
 	default:
 		s.unsure = true
@@ -570,7 +570,7 @@
 			f.occupy(s, 1)
 		}
 	case NoteLink:
-		f.told(&v.link, e.Value, f.set.SeeLate)
+		f.told(&v.link, e.Value*f.warmth(v), f.set.SeeLate)
 	case NoteUplink:
 		f.told(&v.rack.meter, e.Value, f.set.SeeLate)
 	case NoteShare:
@@ -598,7 +598,7 @@
 	if share < hungShare {
 		f.failing(v, failWeight, true)
 	} else {
-		m.set(1/share, f.now-f.set.SeeLate)
+		m.set(f.warmth(v)/share, f.now-f.set.SeeLate)
 	}
 	if share < moveShare {
 		v.shorts++
