--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 
 	backoffMin, backoffMax = 1 * Second, 8 * Second // breaker's pauses: outages last 5 to 30 s
 	errorsTrip             = 2                      // failures that open it, if not outnumbered
-	hungShare              = 0.1                    // a share under this: it stands still, is not full
+	hungShare, shareLeast  = 0.1, 0.5               // under it, it stands still; none tells more use than 2
 	paceMargin             = 0.5                    // part of the pushing-over pace all fronts may use
 	busyIsWarm             = 0.25                   // use by others that one just started lacks
 
@@ -598,7 +598,7 @@
 	if share < hungShare {
 		f.failing(v, failWeight, true)
 	} else {
-		m.set(f.warmth(v)/share, f.now-f.set.SeeLate)
+		m.set(f.warmth(v)/max(share, shareLeast), f.now-f.set.SeeLate)
 	}
 	if share < moveShare {
 		v.shorts++
