Move sessions off a server that stands still at once, to any holder with room

The pace is now 2 a second with a burst of 6, each move still earning its price; any rung will do; a standing-still server says nothing against its rack.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,7 @@
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
-	movesPerS, movesBurst = 0.5, 2                 // the front-wide pace of moves
+	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
 	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
 	changeTwice           = 2.0                    // a swap or raise earns its price so often
@@ -240,13 +240,10 @@
 	f.taken.add(f.now, 1)
 	f.probes = min(f.probes+probeEach, probesMost)
 	f.share(s)
-	if a.Moved {
-		s.moved = true
-		s.from = f.past.from[a.Viewer]
-	}
+	s.moved, s.from = a.Moved, f.past.from[a.Viewer]
 	if !a.Again && !a.Moved {
-		f.typical += (f.worth(s, f.top(s)) - f.typical) / min(f.typicalN+1, typicalOver)
-		f.typicalN++
+		f.typicalN = min(f.typicalN+1, typicalOver)
+		f.typical += (f.worth(s, f.top(s)) - f.typical) / f.typicalN
 	}
 	f.place(s)
 }
@@ -637,10 +634,10 @@
 
 // moveOff moves a session, paced, to the best holder with room on another rack, if there is one.
 func (f *Front) moveOff(v *server) {
-	if f.moves.fill(f.now, movesPerS, movesBurst) < 1 {
-		return
-	}
 	for _, s := range v.held {
+		if f.moves.fill(f.now, movesPerS, movesBurst) < 1 {
+			return
+		}
 		if !s.playing || s.moved || s.left {
 			continue
 		}
@@ -651,15 +648,17 @@
 			continue
 		}
 		for _, o := range f.candidates(s) {
-			if o.rack == v.rack || f.open(o, s) {
+			// A server that stands still says nothing against its rack.
+			if o.rack == v.rack && v.share >= hungShare || f.open(o, s) {
 				continue
 			}
-			if link, uplink := f.room(o, mark); f.kb(s, s.rung) <= min(link, uplink) {
+			if link, uplink := f.room(o, mark); f.highest(s, min(link, uplink)) >= 0 {
 				f.moves.tokens--
-				s.moved = true
-				f.past.put(s.Viewer, v, pastMost)
-				f.do(Move{s.ID})
-				return
+				f.move(s, pastMost)
+				if v.share >= hungShare {
+					return
+				}
+				break
 			}
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -765,3 +765,18 @@
 		t.Fatalf("room of %.0f kB on a link that gives 400 and is asked for half of them", link)
 	}
 }
+
+func TestSessionsLeaveAServerThatStandsStill(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.4)
+	for id := uint64(1); id <= 4; id++ {
+		w.do(Handed{Ask: w.ask(id, 0), Server: 1})
+		w.do(Note{ID: id, Server: 1, Kind: NoteRung, Value: 3})
+	}
+	w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.05})
+	w.now += Second
+	moved := of[Move](w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.01}))
+	if len(moved) < 2 {
+		t.Fatalf("%d moved off a server that delivers nothing", len(moved))
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -367,3 +367,10 @@
 		f.report(v, e.Report)
 	}
 }
+
+// move takes a session off its server and remembers where it was.
+func (f *Front) move(s *session, most int) {
+	s.moved = true
+	f.past.put(s.Viewer, s.at, most)
+	f.do(Move{s.ID})
+}
