--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,33 +79,7 @@
 			f.do(Follow{})
 		}
 	}
-	switch e := event.(type) {
-	case List:
-		f.list(e)
-	case Request:
-		f.request(e.Ask)
-	case Handed:
-		f.handed(e)
-	case Playing:
-		f.started(e)
-	case Note:
-		f.note(e)
-	case Outcome:
-		f.outcome(e)
-	case Gone:
-		f.gone(e.ID)
-	case Probed:
-		f.probed(e)
-	case Alarm:
-		switch e.Token {
-		case tokenTick:
-			f.alarm()
-		case tokenHeld:
-			f.retryHeld(true)
-		case tokenAsk:
-			f.do(Follow{})
-		}
-	}
+	f.dispatch(event)
 	return f.out
 }
 
@@ -500,43 +474,46 @@
 		link, uplink = max(link, 0), max(uplink, 0) // past the mark: what a lowering frees may be used
 	}
 	for n := 0; n < swapMost && rung < f.top(s); n++ {
-		var best *session
-		to, got, most := 0, rung, 0.0
-		for _, o := range f.fleet.order {
-			if o != v && (o.rack != v.rack || link <= uplink) {
-				continue // lowering elsewhere helps only where the uplink is the tighter
-			}
-			for _, e := range o.held {
-				if e.left || e.playing && f.now-e.changed < restRung {
-					continue
-				}
-				for r := e.rung - 1; r >= f.class(e).Floor; r-- {
-					freed := f.kb(e, e.rung) - f.kb(e, r)
-					mine := link
-					if o == v {
-						mine += freed
-					}
-					new := f.highest(s, min(mine, uplink+freed))
-					net := f.worth(s, new) - f.worth(s, rung) - f.worth(e, e.rung) + f.worth(e, r)
-					if net -= changeTwice * f.change(e); net > most {
-						best, to, got, most = e, r, new, net
-					}
-				}
-			}
-		}
-		if best == nil {
+		e, to, got, _ := f.exchange(s, v, rung, link, uplink)
+		if e == nil {
 			break
 		}
-		f.setRung(best, to)
+		f.setRung(e, to)
 		rung = got
-		link, uplink = f.room(v, mark)
-		if min(link, uplink) <= 0 {
+		if link, uplink = f.room(v, mark); min(link, uplink) <= 0 {
 			break
 		}
 	}
 	return rung
 }
 
+// exchange finds the own session whose lowering earns s most above its rung, net of both prices.
+func (f *Front) exchange(s *session, v *server, rung int, link, uplink float64) (e *session, to, got int, most float64) {
+	for _, o := range f.fleet.order {
+		if o != v && (o.rack != v.rack || link <= uplink) {
+			continue // lowering elsewhere helps only where the uplink is the tighter
+		}
+		for _, x := range o.held {
+			if x == s || x.left || x.playing && f.now-x.changed < restRung {
+				continue
+			}
+			for r := x.rung - 1; r >= f.class(x).Floor; r-- {
+				freed := f.kb(x, x.rung) - f.kb(x, r)
+				mine := link
+				if o == v {
+					mine += freed
+				}
+				new := f.highest(s, min(mine, uplink+freed))
+				net := f.worth(s, new) - f.worth(s, rung) - f.worth(x, x.rung) + f.worth(x, r)
+				if net -= changeTwice * (f.change(x) + f.change(s)); net > most {
+					e, to, got, most = x, r, new, net
+				}
+			}
+		}
+	}
+	return e, to, got, most
+}
+
 // giveUp ends a request at once.
 func (f *Front) giveUp(s *session) {
 	defer f.forget(s)
@@ -697,7 +674,7 @@
 }
 
 // raise gives lasting spare to the sessions that gain most by it. Other fronts see the same spare: this
-// one takes its part of it.
+// one takes its part of it. Where there is none, one session a second may gain by another's lowering.
 func (f *Front) raise(v *server) {
 	if f.now-v.shortAt < raiseCalm || v.failed || len(v.held) == 0 {
 		return
@@ -706,23 +683,31 @@
 		f.probe(v, probeStale)
 		return
 	}
-	for {
+	for swapped := false; !swapped; {
 		link, uplink := f.room(v, mark-raiseGap)
 		part := min(link, uplink) / float64(max(f.set.Fleet, 1))
-		var best *session
-		to, most := 0, 0.0
+		var best, lower *session
+		to, down, most := 0, 0, 0.0
 		for _, s := range v.held {
-			if !s.playing || s.left || f.now-s.changed < restRung {
+			if !s.playing || s.left || f.now-s.changed < restRung || s.rung >= f.top(s) {
 				continue
 			}
-			r := f.highest(s, part+f.kb(s, s.rung))
+			kb := f.kb(s, s.rung)
+			r := f.highest(s, part+kb)
 			if net := f.worth(s, r) - f.worth(s, s.rung) - changeTwice*f.change(s); r > s.rung && net > most {
-				best, to, most = s, r, net
+				best, to, lower, most = s, r, nil, net
+			}
+			if x, d, r, net := f.exchange(s, v, s.rung, max(link, 0)+kb, max(uplink, 0)+kb); net > most {
+				best, to, lower, down, most = s, r, x, d, net
 			}
 		}
 		if best == nil {
 			return
 		}
+		if lower != nil {
+			f.setRung(lower, down)
+			swapped = true
+		}
 		f.setRung(best, to)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -374,3 +374,34 @@
 	f.past.put(s.Viewer, s.at, most)
 	f.do(Move{s.ID})
 }
+
+// dispatch hands an event to what deals with it.
+func (f *Front) dispatch(event Event) {
+	switch e := event.(type) {
+	case List:
+		f.list(e)
+	case Request:
+		f.request(e.Ask)
+	case Handed:
+		f.handed(e)
+	case Playing:
+		f.started(e)
+	case Note:
+		f.note(e)
+	case Outcome:
+		f.outcome(e)
+	case Gone:
+		f.gone(e.ID)
+	case Probed:
+		f.probed(e)
+	case Alarm:
+		switch e.Token {
+		case tokenTick:
+			f.alarm()
+		case tokenHeld:
+			f.retryHeld(true)
+		case tokenAsk:
+			f.do(Follow{})
+		}
+	}
+}
