--- a/policy/policy.go
+++ b/policy/policy.go
@@ -474,7 +474,7 @@
 		link, uplink = max(link, 0), max(uplink, 0) // past the mark: what a lowering frees may be used
 	}
 	for n := 0; n < swapMost && rung < f.top(s); n++ {
-		e, to, got, _ := f.exchange(s, v, rung, link, uplink)
+		e, to, got := f.exchange(s, v, rung, link, uplink)
 		if e == nil {
 			break
 		}
@@ -487,14 +487,15 @@
 	return rung
 }
 
-// exchange finds the own session whose lowering earns s most above its rung, net of both prices.
-func (f *Front) exchange(s *session, v *server, rung int, link, uplink float64) (e *session, to, got int, most float64) {
+// exchange finds the own session whose lowering earns the newcomer most above its rung, net of the price.
+func (f *Front) exchange(s *session, v *server, rung int, link, uplink float64) (e *session, to, got int) {
+	most := 0.0
 	for _, o := range f.fleet.order {
 		if o != v && (o.rack != v.rack || link <= uplink) {
 			continue // lowering elsewhere helps only where the uplink is the tighter
 		}
 		for _, x := range o.held {
-			if x == s || x.left || x.playing && f.now-x.changed < restRung {
+			if x.left || x.playing && f.now-x.changed < restRung {
 				continue
 			}
 			for r := x.rung - 1; r >= f.class(x).Floor; r-- {
@@ -505,13 +506,13 @@
 				}
 				new := f.highest(s, min(mine, uplink+freed))
 				net := f.worth(s, new) - f.worth(s, rung) - f.worth(x, x.rung) + f.worth(x, r)
-				if net -= changeTwice * (f.change(x) + f.change(s)); net > most {
+				if net -= changeTwice * f.change(x); net > most {
 					e, to, got, most = x, r, new, net
 				}
 			}
 		}
 	}
-	return e, to, got, most
+	return e, to, got
 }
 
 // giveUp ends a request at once.
@@ -674,7 +675,7 @@
 }
 
 // raise gives lasting spare to the sessions that gain most by it. Other fronts see the same spare: this
-// one takes its part of it. Where there is none, one session a second may gain by another's lowering.
+// one takes its part of it.
 func (f *Front) raise(v *server) {
 	if f.now-v.shortAt < raiseCalm || v.failed || len(v.held) == 0 {
 		return
@@ -683,31 +684,23 @@
 		f.probe(v, probeStale)
 		return
 	}
-	for swapped := false; !swapped; {
+	for {
 		link, uplink := f.room(v, mark-raiseGap)
 		part := min(link, uplink) / float64(max(f.set.Fleet, 1))
-		var best, lower *session
-		to, down, most := 0, 0, 0.0
+		var best *session
+		to, most := 0, 0.0
 		for _, s := range v.held {
-			if !s.playing || s.left || f.now-s.changed < restRung || s.rung >= f.top(s) {
+			if !s.playing || s.left || f.now-s.changed < restRung {
 				continue
 			}
-			kb := f.kb(s, s.rung)
-			r := f.highest(s, part+kb)
+			r := f.highest(s, part+f.kb(s, s.rung))
 			if net := f.worth(s, r) - f.worth(s, s.rung) - changeTwice*f.change(s); r > s.rung && net > most {
-				best, to, lower, most = s, r, nil, net
-			}
-			if x, d, r, net := f.exchange(s, v, s.rung, max(link, 0)+kb, max(uplink, 0)+kb); net > most {
-				best, to, lower, down, most = s, r, x, d, net
+				best, to, most = s, r, net
 			}
 		}
 		if best == nil {
 			return
 		}
-		if lower != nil {
-			f.setRung(lower, down)
-			swapped = true
-		}
 		f.setRung(best, to)
 	}
 }
