--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,7 @@
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
 	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
-	changeTwice           = 2.0                    // a swap or raise earns its price so often
+	changeTimes           = 3.0                    // a swap or raise earns its price so often
 	swapUnder, swapMost   = 0.94, 3                // lowering makes room up to this use; so many at once
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
@@ -506,7 +506,7 @@
 				}
 				new := f.highest(s, min(mine, uplink+freed))
 				net := f.worth(s, new) - f.worth(s, rung) - f.worth(x, x.rung) + f.worth(x, r)
-				if net -= changeTwice * f.change(x); net > most {
+				if net -= changeTimes * f.change(x); net > most {
 					e, to, got, most = x, r, new, net
 				}
 			}
@@ -694,7 +694,7 @@
 				continue
 			}
 			r := f.highest(s, part+f.kb(s, s.rung))
-			if net := f.worth(s, r) - f.worth(s, s.rung) - changeTwice*f.change(s); r > s.rung && net > most {
+			if net := f.worth(s, r) - f.worth(s, s.rung) - changeTimes*f.change(s); r > s.rung && net > most {
 				best, to, most = s, r, net
 			}
 		}
