--- a/policy/policy.go
+++ b/policy/policy.go
@@ -214,7 +214,9 @@
 	f.taken.add(f.now, 1)
 	f.probes = min(f.probes+probeEach, probesMost)
 	f.share(s)
-	s.moved, s.from = a.Moved, f.past.from[a.Viewer]
+	if a.Moved {
+		s.moved, s.from = true, f.past.from[a.Viewer]
+	}
 	if !a.Again && !a.Moved {
 		f.typicalN = min(f.typicalN+1, typicalOver)
 		f.typical += (f.worth(s, f.top(s)) - f.typical) / f.typicalN
@@ -228,11 +230,16 @@
 	if s.Tenant >= len(f.tenants) {
 		return
 	}
-	rate := f.set.Tenants[s.Tenant].PerSecond / float64(max(f.set.Fleet, 1))
-	b := &f.tenants[s.Tenant]
-	if b.fill(f.now, rate, rate*overBurst) >= 1 {
-		b.tokens--
-	} else if !s.Moved {
+	over, known := f.past.over[s.Viewer] // a viewer who comes again belongs to the first try
+	if !known {
+		rate := f.set.Tenants[s.Tenant].PerSecond / float64(max(f.set.Fleet, 1))
+		b := &f.tenants[s.Tenant]
+		if over = b.fill(f.now, rate, rate*overBurst) < 1; !over {
+			b.tokens--
+		}
+		f.past.note(s.Viewer, over, pastMost)
+	}
+	if over {
 		s.weight *= f.set.OverShare
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -780,3 +780,21 @@
 		t.Fatalf("%d moved off a server that delivers nothing", len(moved))
 	}
 }
+
+// Viewers who came again used up their tenant's share a second time.
+func TestAViewerWhoComesAgainCountsOnceInItsShare(t *testing.T) {
+	set := settings()
+	set.Tenants, set.OverShare = []Tenant{{PerSecond: 1}}, 0.2
+	w := newWorld(t, set)
+	for id := uint64(1); id <= 8; id++ {
+		a := w.ask(id, 0)
+		a.Viewer = 5
+		s := one[Send](t, w.do(Request{a}))
+		w.do(Playing{ID: id, Server: s.Server})
+		if got := w.f.byID[id].weight; got != 1 {
+			t.Fatalf("weight %.1f at try %d of one viewer", got, id)
+		}
+		w.end(id, 0, s.Server, OK)
+		w.now += 100 * Millisecond
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -167,19 +167,30 @@
 	sort.Slice(f.order, func(i, j int) bool { return f.order[i].Server < f.order[j].Server })
 }
 
-// past remembers where viewers came from after a move, the newest few only.
+// past remembers the viewers seen last: where a move took them off, and whether they came beyond their
+// tenant's share.
 type past struct {
 	from  map[uint64]*server
+	over  map[uint64]bool
 	order []uint64
 }
 
 func (p *past) put(viewer uint64, v *server, most int) {
-	if _, ok := p.from[viewer]; !ok {
-		p.order = append(p.order, viewer)
-	}
 	p.from[viewer] = v
+	p.keep(viewer, most)
+}
+
+func (p *past) note(viewer uint64, over bool, most int) {
+	p.over[viewer] = over
+	p.keep(viewer, most)
+}
+
+// keep forgets the oldest entries past most.
+func (p *past) keep(viewer uint64, most int) {
+	p.order = append(p.order, viewer)
 	for len(p.order) > most {
 		delete(p.from, p.order[0])
+		delete(p.over, p.order[0])
 		p.order = p.order[1:]
 	}
 }
@@ -352,7 +363,7 @@
 // newFront makes empty records for the settings.
 func newFront(set Settings, seed uint64) *Front {
 	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{},
-		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}}
+		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}, over: map[uint64]bool{}}}
 	for i := 0; i < max(set.Racks, 1); i++ {
 		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1)}})
 	}
