--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,7 @@
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
 	pastMost, overBurst   = 1000, 4.0              // moved viewers kept; seconds of a share usable at once
-	waitLeast, waitMost   = 0.15, 0.5              // parts of the longest come-back time, to spread viewers
+	waitLeast             = 0.85                   // least part of the longest come-back time: spread viewers a little
 )
 
 // Tokens of the timers.
@@ -527,7 +527,7 @@
 	defer f.forget(s)
 	after := Time(0)
 	if f.set.RetryAfter {
-		after = Time(float64(f.set.MaxRetry) * (waitLeast + (waitMost-waitLeast)*f.rng.Float64()))
+		after = Time(float64(f.set.MaxRetry) * (waitLeast + (1-waitLeast)*f.rng.Float64()))
 	}
 	if f.now >= s.Deadline || s.unsure && f.class(s).Paid {
 		f.do(Fail{s.ID})
