--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,7 @@
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
 	pastMost, overBurst   = 1000, 4.0              // moved viewers kept; seconds of a share usable at once
-	waitLeast             = 0.85                   // least part of the longest come-back time: spread viewers a little
+	waitLeast             = 0.85                   // least part of the longest come-back time told
 )
 
 // Tokens of the timers.
