--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,6 @@
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
-	shedWorse             = 0.15                   // a share lower by this than the one acted on is news
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -587,12 +586,8 @@
 		v.shorts++
 	}
 	f.probe(v, 0)
-	if f.now-v.shedAt > f.set.SeeLate+shedPause {
-		v.shed = 1 // what was lowered before shows in the notes by now
-	}
-	if share < min(shortNote, v.shed-shedWorse) && share >= hungShare {
-		f.shed(v, share/v.shed)
-		v.shed = share
+	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
+		f.shed(v, share)
 	}
 	if v.shorts >= moveNotes {
 		f.moveOff(v)
--- a/policy/state.go
+++ b/policy/state.go
@@ -104,9 +104,8 @@
 
 	shortAt  Time // last short note
 	share    float64
-	shedAt   Time    // when sessions here were last lowered for being short
-	shed     float64 // the share that lowering has answered so far; 1: none
-	shorts   int     // short notes in a row under the moving limit
+	shedAt   Time // when sessions here were last lowered for being short
+	shorts   int  // short notes in a row under the moving limit
 	probing  bool
 	score    float64 // its place in the ranking last made
 	probedAt Time
