--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,8 +42,6 @@
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
-	liftStep, liftDrop    = 0.005, 0.02            // the mark rises so much a calm second, falls so much a short note
-	liftMost              = 0.06                   // and rises at most
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -179,18 +177,10 @@
 	return f.set.ColdFrom + (1-f.set.ColdFrom)*max(done, 0)
 }
 
-// room is what link and uplink still take with a gap under their marks, in kB a second.
-func (f *Front) room(v *server, gap float64) (link, uplink float64) {
-	link = ((mark+v.link.lift-gap)*f.warmth(v) - f.load(&v.link, 0)) * v.link.cap
-	return link, (mark + v.rack.lift - gap - f.load(&v.rack.meter, 0)) * v.rack.cap
-}
-
-// learn lifts the mark of a link or uplink that runs at it in calm, and short lowers it again: rates
-// wander less where many sessions share. Harm: a lift found with few sessions is too high for more.
-func (f *Front) learn(m *meter) {
-	if m.told && f.now-m.useAt < raiseFresh && f.now-m.shortAt > raiseCalm && f.load(m, 0) > mark+m.lift-raiseGap {
-		m.lift = min(m.lift+liftStep, liftMost)
-	}
+// room is what link and uplink still take under a limit, in kB a second.
+func (f *Front) room(v *server, limit float64) (link, uplink float64) {
+	link = (limit*f.warmth(v) - f.load(&v.link, 0)) * v.link.cap
+	return link, (limit - f.load(&v.rack.meter, 0)) * v.rack.cap
 }
 
 // highest is the rung rule: the highest rung that room allows, -1 if not even the lowest.
@@ -412,7 +402,7 @@
 				continue
 			}
 			// First the ordinary path; where no holder has room, what lowering early sessions gives.
-			link, uplink := f.room(v, 0)
+			link, uplink := f.room(v, mark)
 			if pass == 0 && (f.open(v, s) || f.kb(s, f.class(s).Floor) > min(link, uplink)) {
 				continue
 			}
@@ -485,7 +475,7 @@
 // sessions would keep top rungs while later ones start low, or find no room: where lowering one earns
 // the newcomer more than it costs, it is lowered. Without room even so the answer is -1.
 func (f *Front) choose(s *session, v *server) int {
-	link, uplink := f.room(v, 0)
+	link, uplink := f.room(v, mark)
 	rung := f.highest(s, min(link, uplink))
 	if f.busy(v) < swapUnder {
 		link, uplink = max(link, 0), max(uplink, 0) // past the mark: what a lowering frees may be used
@@ -497,7 +487,7 @@
 		}
 		f.setRung(e, to)
 		rung = got
-		if link, uplink = f.room(v, 0); min(link, uplink) <= 0 {
+		if link, uplink = f.room(v, mark); min(link, uplink) <= 0 {
 			break
 		}
 	}
@@ -585,8 +575,7 @@
 	if like && f.load(&v.rack.meter, 0) > f.load(m, 0) {
 		m = &v.rack.meter
 	}
-	v.share, v.shortAt, m.shortAt = share, f.now, f.now
-	m.lift = max(m.lift-liftDrop, 0)
+	v.share, v.shortAt = share, f.now
 	v.bad.add(f.now, 1-share)
 	if share < hungShare {
 		f.failing(v, failWeight, true)
@@ -648,7 +637,7 @@
 			if o.rack == v.rack && v.share >= hungShare || f.open(o, s) {
 				continue
 			}
-			if link, uplink := f.room(o, 0); f.highest(s, min(link, uplink)) >= 0 {
+			if link, uplink := f.room(o, mark); f.highest(s, min(link, uplink)) >= 0 {
 				f.moves.tokens--
 				f.move(s, pastMost)
 				if v.share >= hungShare {
@@ -686,9 +675,6 @@
 	f.ticks++
 	f.retryHeld(false)
 	if f.ticks%int(Second/tick) == 0 {
-		for _, k := range f.racks {
-			f.learn(&k.meter)
-		}
 		for _, v := range f.fleet.order {
 			f.raise(v)
 		}
@@ -706,7 +692,7 @@
 		return
 	}
 	for {
-		link, uplink := f.room(v, raiseGap)
+		link, uplink := f.room(v, mark-raiseGap)
 		part := min(link, uplink) / float64(max(f.set.Fleet, 1))
 		var best *session
 		to, most := 0, 0.0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -761,7 +761,7 @@
 	w.do(List{Kind: ListDelta, Entries: []Entry{told}})
 	w.use(2, 0.5, 0.1)
 	v := w.f.fleet.get(2)
-	if link, _ := w.f.room(v, 0); link < 0.3*0.4*1000 || link > 0.4*1000*mark {
+	if link, _ := w.f.room(v, mark); link < 0.3*0.4*1000 || link > 0.4*1000*mark {
 		t.Fatalf("room of %.0f kB on a link that gives 400 and is asked for half of them", link)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,8 +16,6 @@
 	useOwn  float64 // own rate when that was measured
 	useAt   Time    // when it was measured
 	told    bool
-	lift    float64   // what this meter's mark has been raised by
-	shortAt Time      // last short note blamed on it
 	parts   []*server // for an uplink: the servers behind it
 }
 
