Let higher rungs leave more spare for later sessions

The rung rule keeps to the mark, but the mark now falls with the rung, by 0.3 of a link at the top: early sessions leave room instead of being lowered later at a price.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,6 +42,7 @@
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
+	leaveMost             = 0.3                    // spare the highest rung must leave, part of a link
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -183,16 +184,18 @@
 	return link, (limit - f.load(&v.rack.meter, 0)) * v.rack.cap
 }
 
-// highest is the rung rule: the highest rung that room allows, -1 if not even the lowest.
-func (f *Front) highest(s *session, room float64) int {
-	rung := f.top(s)
-	for rung >= f.class(s).Floor && f.kb(s, rung) > room {
-		rung--
-	}
-	if rung < f.class(s).Floor {
-		return -1
+// highest is the rung rule: the highest rung that link and uplink take under the mark, -1 if not even the
+// lowest. The higher a rung, the more it must leave for those who come later. A session that plays there
+// has some of it already, and of the spare only a part may be taken.
+func (f *Front) highest(s *session, v *server, link, uplink, has, part float64) int {
+	floor := f.class(s).Floor
+	for rung := f.top(s); rung >= floor; rung-- {
+		left := leaveMost * float64(rung-floor) / float64(len(f.set.RungKB))
+		if f.kb(s, rung)-has <= part*min(link-left*v.link.cap, uplink-left*v.rack.cap) {
+			return rung
+		}
 	}
-	return rung
+	return -1
 }
 
 // busy is the fuller of link and uplink.
@@ -476,7 +479,7 @@
 // the newcomer more than it costs, it is lowered. Without room even so the answer is -1.
 func (f *Front) choose(s *session, v *server) int {
 	link, uplink := f.room(v, mark)
-	rung := f.highest(s, min(link, uplink))
+	rung := f.highest(s, v, link, uplink, 0, 1)
 	if f.busy(v) < swapUnder {
 		link, uplink = max(link, 0), max(uplink, 0) // past the mark: what a lowering frees may be used
 	}
@@ -511,7 +514,7 @@
 				if o == v {
 					mine += freed
 				}
-				new := f.highest(s, min(mine, uplink+freed))
+				new := f.highest(s, v, mine, uplink+freed, 0, 1)
 				net := f.worth(s, new) - f.worth(s, rung) - f.worth(x, x.rung) + f.worth(x, r)
 				if net -= changeTimes * f.change(x); net > most {
 					e, to, got, most = x, r, new, net
@@ -637,7 +640,7 @@
 			if o.rack == v.rack && v.share >= hungShare || f.open(o, s) {
 				continue
 			}
-			if link, uplink := f.room(o, mark); f.highest(s, min(link, uplink)) >= 0 {
+			if link, uplink := f.room(o, mark); f.highest(s, o, link, uplink, 0, 1) >= 0 {
 				f.moves.tokens--
 				f.move(s, pastMost)
 				if v.share >= hungShare {
@@ -693,14 +696,13 @@
 	}
 	for {
 		link, uplink := f.room(v, mark-raiseGap)
-		part := min(link, uplink) / float64(max(f.set.Fleet, 1))
 		var best *session
 		to, most := 0, 0.0
 		for _, s := range v.held {
 			if !s.playing || s.left || f.now-s.changed < restRung {
 				continue
 			}
-			r := f.highest(s, part+f.kb(s, s.rung))
+			r := f.highest(s, v, link, uplink, f.kb(s, s.rung), 1/float64(max(f.set.Fleet, 1)))
 			if net := f.worth(s, r) - f.worth(s, s.rung) - changeTimes*f.change(s); r > s.rung && net > most {
 				best, to, most = s, r, net
 			}
