--- a/policy/policy.go
+++ b/policy/policy.go
@@ -191,9 +191,6 @@
 	floor := f.class(s).Floor
 	for rung := f.top(s); rung >= floor; rung-- {
 		left := leaveMost * float64(rung-floor) / float64(len(f.set.RungKB))
-		if has > 0 {
-			left = 0 // lasting spare is not for later sessions
-		}
 		if f.kb(s, rung)-has <= part*min(link-left*v.link.cap, uplink-left*v.rack.cap) {
 			return rung
 		}
