--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,7 @@
 
 // Tuned values, each with its reason. Those marked "page" are the design page's starting values.
 const (
-	mark      = 0.92 // use a set-up may bring a link to (page: 0.85); rates wander
+	mark      = 0.95 // use a set-up may bring a link to (page: 0.85); rates wander
 	listLen   = 20   // holders on the fallback list (page, and the paper's K)
 	moveShare = 0.9  // a share under this (page)
 	moveNotes = 2    // on so many notes lets sessions move (page)
@@ -42,7 +42,7 @@
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
-	leaveMost             = 0.3                    // spare the highest rung must leave, part of a link
+	leaveMost             = 0.4                    // spare the highest rung must leave, part of a link
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
