--- a/policy/policy.go
+++ b/policy/policy.go
@@ -690,15 +690,10 @@
 	if f.now-v.shortAt < raiseCalm || v.failed || len(v.held) == 0 {
 		return
 	}
-	// Only on a report measured since the last raise there, so that its effect is known.
-	k := &v.rack.meter
-	if !v.link.told || f.now-v.link.useAt > raiseFresh || v.link.useAt <= v.link.raisedAt {
+	if !v.link.told || f.now-v.link.useAt > raiseFresh {
 		f.probe(v, probeStale)
 		return
 	}
-	if k.told && k.useAt <= k.raisedAt && k.raisedAt != f.now {
-		return
-	}
 	for {
 		link, uplink := f.room(v, mark-raiseGap)
 		var best *session
@@ -716,6 +711,5 @@
 			return
 		}
 		f.setRung(best, to)
-		v.link.raisedAt, k.raisedAt = f.now, f.now
 	}
 }
