--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,6 @@
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, part of a link
-	leaveSpread           = 2.0                    // so many times more or less by weight
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -186,13 +185,12 @@
 }
 
 // highest is the rung rule: the highest rung that link and uplink take under the mark, -1 if not even the
-// lowest. The higher a rung, the more it must leave for those who come later, and a session of little weight
-// more than one of great. One that plays there has some of it already; only a part of the spare may be taken.
+// lowest. The higher a rung, the more it must leave for those who come later. A session that plays there
+// has some of it already, and of the spare only a part may be taken.
 func (f *Front) highest(s *session, v *server, link, uplink, has, part float64) int {
 	floor := f.class(s).Floor
-	most := leaveMost * min(max(f.usual/max(s.weight, 1e-9), 1/leaveSpread), leaveSpread)
 	for rung := f.top(s); rung >= floor; rung-- {
-		left := most * float64(rung-floor) / float64(len(f.set.RungKB))
+		left := leaveMost * float64(rung-floor) / float64(len(f.set.RungKB))
 		if f.kb(s, rung)-has <= part*min(link-left*v.link.cap, uplink-left*v.rack.cap) {
 			return rung
 		}
@@ -225,7 +223,6 @@
 	if !a.Again && !a.Moved {
 		f.typicalN = min(f.typicalN+1, typicalOver)
 		f.typical += (f.worth(s, f.top(s)) - f.typical) / f.typicalN
-		f.usual += (s.weight - f.usual) / f.typicalN
 	}
 	f.place(s)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -215,7 +215,6 @@
 	ticks   int
 
 	mean              float64 // average use by other fronts' sessions, from reports
-	usual             float64 // mean weight of a session
 	typical, typicalN float64 // mean worth of a session, and over how many
 }
 
