--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand"
 	"sort"
 )
@@ -266,7 +267,7 @@
 
 func (f *Front) take(a Ask) *session {
 	s := &session{Ask: a, arrived: f.now, rung: f.set.Classes[a.Class].Floor}
-	s.weight = f.class(s).Worth
+	s.weight = math.Sqrt(f.class(s).Worth)
 	f.byID[a.ID] = s
 	return s
 }
