--- a/policy/state.go
+++ b/policy/state.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"math"
 	"math/rand"
 	"sort"
 )
@@ -267,7 +266,7 @@
 
 func (f *Front) take(a Ask) *session {
 	s := &session{Ask: a, arrived: f.now, rung: f.set.Classes[a.Class].Floor}
-	s.weight = math.Sqrt(f.class(s).Worth)
+	s.weight = f.class(s).Worth
 	f.byID[a.ID] = s
 	return s
 }
