--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
 	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
 	changeTimes           = 3.0                    // a swap or raise earns its price so often
-	swapUnder, swapMost   = 0.94, 3                // lowering makes room up to this use; so many at once
+	swapUnder, swapMost   = 0.94, 0                // lowering makes room up to this use; so many at once
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
 	pastMost, overBurst   = 1000, 4.0              // moved viewers kept; seconds of a share usable at once
