--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,8 +47,7 @@
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
 	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
-	changeTimes           = 3.0                    // a swap or raise earns its price so often
-	swapUnder, swapMost   = 0.94, 0                // lowering makes room up to this use; so many at once
+	changeTimes           = 3.0                    // a raise earns its price so often: it may be undone
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
 	pastMost, overBurst   = 1000, 4.0              // moved viewers kept; seconds of a share usable at once
@@ -379,7 +378,8 @@
 		}
 	}
 	collect(false)
-	if len(list) == 0 && !f.class(s).Paid {
+	// If all look bad, the trouble may lie elsewhere: a safe request may go to one all the same.
+	if s.despite = len(list) == 0 && !f.class(s).Paid; s.despite {
 		collect(true)
 	}
 	sort.SliceStable(list, func(i, j int) bool { return list[i].score < list[j].score })
@@ -399,20 +399,14 @@
 	}
 	seats := f.class(s).Seats
 	free := seats <= 0 || f.count(s.Class, s.Title) < seats
-	for pass := 0; pass < 2 && free; pass++ {
-		for _, v := range s.list {
-			if !v.listed || s.hasTried(v) || f.cold(v) {
-				continue
-			}
-			// First the ordinary path; where no holder has room, what lowering early sessions gives.
-			link, uplink := f.room(v, mark)
-			if pass == 0 && (f.open(v, s) || f.kb(s, f.class(s).Floor) > min(link, uplink)) {
-				continue
-			}
-			if rung := f.choose(s, v); rung >= 0 {
-				f.send(s, v, rung)
-				return
-			}
+	for _, v := range s.list {
+		if !free || !v.listed || s.hasTried(v) || f.cold(v) || f.open(v, s) && !s.despite {
+			continue
+		}
+		link, uplink := f.room(v, mark)
+		if rung := f.highest(s, v, link, uplink, 0, 1); rung >= 0 {
+			f.send(s, v, rung)
+			return
 		}
 	}
 	if s.holding == 0 {
@@ -474,57 +468,6 @@
 	f.probe(v, probeStale)
 }
 
-// choose gives a newcomer its rung: the highest that keeps link and uplink under the mark. Early
-// sessions would keep top rungs while later ones start low, or find no room: where lowering one earns
-// the newcomer more than it costs, it is lowered. Without room even so the answer is -1.
-func (f *Front) choose(s *session, v *server) int {
-	link, uplink := f.room(v, mark)
-	rung := f.highest(s, v, link, uplink, 0, 1)
-	if f.busy(v) < swapUnder {
-		link, uplink = max(link, 0), max(uplink, 0) // past the mark: what a lowering frees may be used
-	}
-	for n := 0; n < swapMost && rung < f.top(s); n++ {
-		e, to, got := f.exchange(s, v, rung, link, uplink)
-		if e == nil {
-			break
-		}
-		f.setRung(e, to)
-		rung = got
-		if link, uplink = f.room(v, mark); min(link, uplink) <= 0 {
-			break
-		}
-	}
-	return rung
-}
-
-// exchange finds the own session whose lowering earns the newcomer most above its rung, net of the price.
-func (f *Front) exchange(s *session, v *server, rung int, link, uplink float64) (e *session, to, got int) {
-	most := 0.0
-	for _, o := range f.fleet.order {
-		if o != v && (o.rack != v.rack || link <= uplink) {
-			continue // lowering elsewhere helps only where the uplink is the tighter
-		}
-		for _, x := range o.held {
-			if x.left || x.playing && f.now-x.changed < restRung {
-				continue
-			}
-			for r := x.rung - 1; r >= f.class(x).Floor; r-- {
-				freed := f.kb(x, x.rung) - f.kb(x, r)
-				mine := link
-				if o == v {
-					mine += freed
-				}
-				new := f.highest(s, v, mine, uplink+freed, 0, 1)
-				net := f.worth(s, new) - f.worth(s, rung) - f.worth(x, x.rung) + f.worth(x, r)
-				if net -= changeTimes * f.change(x); net > most {
-					e, to, got, most = x, r, new, net
-				}
-			}
-		}
-	}
-	return e, to, got
-}
-
 // giveUp ends a request at once.
 func (f *Front) giveUp(s *session) {
 	defer f.forget(s)
