--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, part of a link
+	overLeave             = 2.0                    // so many times more beyond a tenant's share
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -190,6 +191,9 @@
 	floor := f.class(s).Floor
 	for rung := f.top(s); rung >= floor; rung-- {
 		left := leaveMost * float64(rung-floor) / float64(len(f.set.RungKB))
+		if s.weight < f.class(s).Worth {
+			left *= overLeave
+		}
 		if f.kb(s, rung)-has <= part*min(link-left*v.link.cap, uplink-left*v.rack.cap) {
 			return rung
 		}
