--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,6 @@
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, part of a link
-	overLeave             = 2.0                    // so many times more beyond a tenant's share
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -51,7 +50,7 @@
 	changeTimes           = 3.0                    // a raise earns its price so often: it may be undone
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
-	pastMost, overBurst   = 1000, 4.0              // moved viewers kept; seconds of a share usable at once
+	pastMost              = 1000                   // moved viewers remembered
 	waitLeast             = 0.85                   // least part of the longest come-back time told
 )
 
@@ -191,9 +190,6 @@
 	floor := f.class(s).Floor
 	for rung := f.top(s); rung >= floor; rung-- {
 		left := leaveMost * float64(rung-floor) / float64(len(f.set.RungKB))
-		if s.weight < f.class(s).Worth {
-			left *= overLeave
-		}
 		if f.kb(s, rung)-has <= part*min(link-left*v.link.cap, uplink-left*v.rack.cap) {
 			return rung
 		}
@@ -219,7 +215,6 @@
 	s := f.take(a)
 	f.taken.add(f.now, 1)
 	f.probes = min(f.probes+probeEach, probesMost)
-	f.share(s)
 	if a.Moved {
 		s.moved, s.from = true, f.past.from[a.Viewer]
 	}
@@ -230,26 +225,6 @@
 	f.place(s)
 }
 
-// share weighs traffic beyond a tenant's share at what it is worth, so that it yields under pressure and
-// one tenant's rush can't crowd out another. Harm: fronts see uneven parts, so some is misjudged.
-func (f *Front) share(s *session) {
-	if s.Tenant >= len(f.tenants) {
-		return
-	}
-	over, known := f.past.over[s.Viewer] // a viewer who comes again belongs to the first try
-	if !known {
-		rate := f.set.Tenants[s.Tenant].PerSecond / float64(max(f.set.Fleet, 1))
-		b := &f.tenants[s.Tenant]
-		if over = b.fill(f.now, rate, rate*overBurst) < 1; !over {
-			b.tokens--
-		}
-		f.past.note(s.Viewer, over, pastMost)
-	}
-	if over {
-		s.weight *= f.set.OverShare
-	}
-}
-
 func (f *Front) started(e Playing) {
 	s := f.byID[e.ID]
 	if s == nil || s.at == nil || s.playing || e.Attempt != s.attempts-1 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -643,18 +643,6 @@
 	none[Rate](t, w.run(Second)) // no spare under the mark
 }
 
-func TestTrafficOverATenantsShareYields(t *testing.T) {
-	set := settings()
-	set.Tenants, set.OverShare = []Tenant{{PerSecond: 1}}, 0.2
-	w := newWorld(t, set)
-	for id := uint64(1); id <= 6; id++ {
-		w.place(id, 0)
-	}
-	if in, over := w.f.byID[1].weight, w.f.byID[6].weight; in != 1 || over != 0.2 {
-		t.Fatalf("weights %.1f and %.1f", in, over)
-	}
-}
-
 func TestUseIsScaledByFleetWithoutAReport(t *testing.T) {
 	set := settings()
 	set.Fleet = 3
@@ -763,21 +751,3 @@
 		t.Fatalf("%d moved off a server that delivers nothing", len(moved))
 	}
 }
-
-// Viewers who came again used up their tenant's share a second time.
-func TestAViewerWhoComesAgainCountsOnceInItsShare(t *testing.T) {
-	set := settings()
-	set.Tenants, set.OverShare = []Tenant{{PerSecond: 1}}, 0.2
-	w := newWorld(t, set)
-	for id := uint64(1); id <= 8; id++ {
-		a := w.ask(id, 0)
-		a.Viewer = 5
-		s := one[Send](t, w.do(Request{a}))
-		w.do(Playing{ID: id, Server: s.Server})
-		if got := w.f.byID[id].weight; got != 1 {
-			t.Fatalf("weight %.1f at try %d of one viewer", got, id)
-		}
-		w.end(id, 0, s.Server, OK)
-		w.now += 100 * Millisecond
-	}
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -168,30 +168,17 @@
 	sort.Slice(f.order, func(i, j int) bool { return f.order[i].Server < f.order[j].Server })
 }
 
-// past remembers the viewers seen last: where a move took them off, and whether they came beyond their
-// tenant's share.
+// past remembers where moves took the newest few viewers off.
 type past struct {
 	from  map[uint64]*server
-	over  map[uint64]bool
 	order []uint64
 }
 
 func (p *past) put(viewer uint64, v *server, most int) {
 	p.from[viewer] = v
-	p.keep(viewer, most)
-}
-
-func (p *past) note(viewer uint64, over bool, most int) {
-	p.over[viewer] = over
-	p.keep(viewer, most)
-}
-
-// keep forgets the oldest entries past most.
-func (p *past) keep(viewer uint64, most int) {
 	p.order = append(p.order, viewer)
 	for len(p.order) > most {
 		delete(p.from, p.order[0])
-		delete(p.over, p.order[0])
 		p.order = p.order[1:]
 	}
 }
@@ -210,7 +197,6 @@
 	past    past
 	moves   bucket
 	probes  float64
-	tenants []bucket
 	taken   tally
 	extra   tally
 	ticks   int
@@ -364,11 +350,10 @@
 // newFront makes empty records for the settings.
 func newFront(set Settings, seed uint64) *Front {
 	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{},
-		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}, over: map[uint64]bool{}}}
+		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}}
 	for i := 0; i < max(set.Racks, 1); i++ {
 		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1)}})
 	}
-	f.tenants = make([]bucket, len(set.Tenants))
 	return f
 }
 
