--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,6 @@
 	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
 	alikePart               = 1.0                         // of own late additions, for each other front
 	meanStart               = 0.4                         // others' use before any report: a moderate day
-	utilEnd, utilTrust      = 0.99, 2 * Second            // a use that ends at 1 is mute after a short note
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
 	probeEach               = 1.2                         // probes a request earns: half a point at most
 	probesStart, probesMost = 3.0, 10.0                   // probes at the start, and at most saved up
@@ -114,13 +113,8 @@
 	for i, field := range f.set.Fields[:min(len(f.set.Fields), len(values))] {
 		x := values[i]
 		switch field {
-		case FieldLink:
+		case FieldLink, FieldUtil:
 			f.told(&v.link, x*f.warmth(v), reportLag)
-		case FieldUtil:
-			// Stops at 1: while notes tell of a short link it says nothing new.
-			if x < utilEnd || f.now-v.shortAt > utilTrust {
-				f.told(&v.link, x*f.warmth(v), reportLag)
-			}
 		case FieldUplink:
 			f.told(&v.rack.meter, x, reportLag)
 		}
