--- a/policy/policy.go
+++ b/policy/policy.go
@@ -438,7 +438,6 @@
 		timeout = min(timeout, Time(tryShare*float64(f.class(s).Aim)))
 	}
 	f.do(Send{s.ID, v.Server, timeout})
-	f.probe(v, probeStale)
 }
 
 // giveUp ends a request at once.
