--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,6 +42,7 @@
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, part of a link
+	lookAt                = 2                      // holders looked at before a choice if their reports are stale
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -372,7 +373,14 @@
 	}
 	seats := f.class(s).Seats
 	free := seats <= 0 || f.count(s.Class, s.Title) < seats
+	asked := false
+	for _, v := range s.list[:min(len(s.list), lookAt)] {
+		asked = s.holding == 0 && s.attempts == 0 && f.probe(v, probeStale) || asked
+	}
 	for _, v := range s.list {
+		if asked {
+			break // the choice rests on old news: a look costs a tick
+		}
 		if !free || !v.listed || s.hasTried(v) || f.cold(v) || f.open(v, s) && !s.despite {
 			continue
 		}
@@ -578,14 +586,15 @@
 	return s.Length
 }
 
-func (f *Front) probe(v *server, stale Time) {
+func (f *Front) probe(v *server, stale Time) bool {
 	if !f.set.MayProbe || v.probing || f.probes < 1 || f.now-v.probedAt < Second ||
 		(v.link.told && f.now-v.link.useAt < stale) {
-		return
+		return false
 	}
 	f.probes--
 	v.probing, v.probedAt = true, f.now
 	f.do(Probe{v.Server})
+	return true
 }
 
 func (f *Front) alarm() {
