Look at busy holders before a choice that rests on stale reports

Cause: on sites that report only when probed, choices rested on reports of 5 to 20 s. If one of the two best holders is stale and ranked past 0.6, the request is held a tick and its holders are probed. Probes are paid by what requests earn, as before. Harm: a start 0.1 s later.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,8 @@
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, part of a link
-	lookAt                = 2                      // holders looked at before a choice if their reports are stale
+	lookFrom              = 0.6                    // rank from which a choice depends on the report
+	lookAt                = 2                      // so many best holders, one stale, call for a look at all
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -375,11 +376,11 @@
 	free := seats <= 0 || f.count(s.Class, s.Title) < seats
 	asked := false
 	for _, v := range s.list[:min(len(s.list), lookAt)] {
-		asked = s.holding == 0 && s.attempts == 0 && f.probe(v, probeStale) || asked
+		asked = s.holding == 0 && s.attempts == 0 && v.score > lookFrom && f.probe(v, probeStale) || asked
 	}
 	for _, v := range s.list {
 		if asked {
-			break // the choice rests on old news: a look costs a tick
+			break // the choice rests on old news: hold a tick and look at all holders
 		}
 		if !free || !v.listed || s.hasTried(v) || f.cold(v) || f.open(v, s) && !s.despite {
 			continue
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -751,3 +751,29 @@
 		t.Fatalf("%d moved off a server that delivers nothing", len(moved))
 	}
 }
+
+// A choice among busy holders rested on reports of 5 to 20 s.
+func TestAChoiceAmongBusyHoldersLooksFirst(t *testing.T) {
+	set := settings()
+	set.MayProbe = true
+	w := newWorld(t, set)
+	w.useAll(0.75)
+	w.now += 4 * Second
+	acts := w.do(Request{w.ask(1, 0)})
+	none[Send](t, acts)
+	looks := of[Probe](acts)
+	if len(looks) != 4 {
+		t.Fatalf("%d looks, want all four holders", len(looks))
+	}
+	w.use(looks[0].Server, 0.2, 0.2)
+	for _, l := range looks[1:] {
+		w.use(l.Server, 0.8, 0.8)
+	}
+	if s := one[Send](t, w.run(tick)); s.Server != looks[0].Server {
+		t.Fatalf("sent to %d, want the one that proved free", s.Server)
+	}
+	w = newWorld(t, set)
+	w.useAll(0.1)
+	w.now += 4 * Second
+	one[Send](t, w.do(Request{w.ask(1, 0)})) // plenty of room: no look
+}
