--- a/policy/policy.go
+++ b/policy/policy.go
@@ -376,7 +376,8 @@
 	free := seats <= 0 || f.count(s.Class, s.Title) < seats
 	asked := false
 	for _, v := range s.list[:min(len(s.list), lookAt)] {
-		asked = s.holding == 0 && s.attempts == 0 && v.score > lookFrom && f.probe(v, probeStale) || asked
+		look := s.holding == 0 && s.attempts == 0 && !f.set.Inline && v.score > lookFrom
+		asked = look && f.probe(v, probeStale) || asked
 	}
 	for _, v := range s.list {
 		if asked {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -755,7 +755,7 @@
 // A choice among busy holders rested on reports of 5 to 20 s.
 func TestAChoiceAmongBusyHoldersLooksFirst(t *testing.T) {
 	set := settings()
-	set.MayProbe = true
+	set.MayProbe, set.Inline = true, false
 	w := newWorld(t, set)
 	w.useAll(0.75)
 	w.now += 4 * Second
@@ -776,4 +776,9 @@
 	w.useAll(0.1)
 	w.now += 4 * Second
 	one[Send](t, w.do(Request{w.ask(1, 0)})) // plenty of room: no look
+	set.Inline = true
+	w = newWorld(t, set)
+	w.useAll(0.75)
+	w.now += 4 * Second
+	one[Send](t, w.do(Request{w.ask(1, 0)})) // reports come with answers: no look
 }
