Let a front probe up to 20 servers at its start

Told from want of room by no short note and low reports where there were any. Covers restarted fronts. Harm: 20 probes a start.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
 	probeEach               = 1.2                         // probes a request earns: half a point at most
-	probesStart, probesMost = 3.0, 10.0                   // probes at the start, and at most saved up
+	probesStart, probesMost = 20.0, 20.0                  // at the start, a look at most servers; saved
 	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if it blocks a request, else
 
 	backoffMin, backoffMax = 1 * Second, 8 * Second // breaker's pauses: outages last 5 to 30 s
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -782,3 +782,17 @@
 	w.now += 4 * Second
 	one[Send](t, w.do(Request{w.ask(1, 0)})) // reports come with answers: no look
 }
+
+// Sessions handed over at the floor stayed there beside idle links, as nothing was known of these.
+func TestANewFrontLooksAtServersThatItsSessionsCouldRiseOn(t *testing.T) {
+	set := settings()
+	set.MayProbe, set.Inline = true, false
+	w := newWorld(t, set)
+	for id := uint32(1); id <= 4; id++ {
+		w.do(Handed{Ask: w.ask(uint64(id), 0), Server: id})
+	}
+	w.now += 10 * Second
+	if n := len(of[Probe](w.run(Second))); n != 4 {
+		t.Fatalf("%d looks at 4 servers with sessions", n)
+	}
+}
