Leave spare only for rungs above the mean of the rack less one

It now begins one rung under the mean rung of this front's sessions in the rack, so that sessions end up alike near the mark.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	leaveMost             = 0.4                    // spare the highest rung must leave, part of a link
 	lookFrom              = 0.6                    // rank from which a choice depends on the report
 	lookAt                = 2                      // so many best holders, one stale, call for a look at all
+	leaveFrom             = 1.0                    // it begins so many rungs under the mean of the rack's sessions
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -183,9 +184,9 @@
 // lowest. The higher a rung, the more it must leave for those who come later. A session that plays there
 // has some of it already, and of the spare only a part may be taken.
 func (f *Front) highest(s *session, v *server, link, uplink, has, part float64) int {
-	floor := f.class(s).Floor
+	floor, base := f.class(s).Floor, f.meanRung(v.rack)-leaveFrom
 	for rung := f.top(s); rung >= floor; rung-- {
-		left := leaveMost * float64(rung-floor) / float64(len(f.set.RungKB))
+		left := leaveMost * min(float64(rung-floor), max(float64(rung)-base, 0)) / float64(len(f.set.RungKB))
 		if f.kb(s, rung)-has <= part*min(link-left*v.link.cap, uplink-left*v.rack.cap) {
 			return rung
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -402,3 +402,14 @@
 		}
 	}
 }
+
+// meanRung gives the mean rung of this front's sessions in a rack.
+func (f *Front) meanRung(k *rack) float64 {
+	n, sum := 0, 0
+	for _, v := range k.parts {
+		for _, s := range v.held {
+			n, sum = n+1, sum+s.rung
+		}
+	}
+	return float64(sum) / float64(max(n, 1))
+}
