--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,10 +41,10 @@
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
-	leaveMost             = 0.6                    // spare the highest rung must leave, of a link
+	leaveMost             = 0.4                    // spare the highest rung must leave, of a link
 	lookFrom              = 0.6                    // rank from which a choice needs the report
 	lookAt                = 2                      // one stale among so many best: look at all
-	leaveFrom             = 0.5                    // from so many rungs under the rack's mean
+	leaveFrom             = 1.0                    // from so many rungs under the rack's mean
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
