--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,6 @@
 
 	tallyWindow, tallyWeight = 10 * Second, 0.1        // how long failures count; the use each counts for
 	failWeight, heavyWeight  = 1.0, 2.0                // a failure in the tally; one that cost a time-out
-	fullRest                 = 2 * Second              // a server out of places is left alone so long
 	fullWeight               = 0.5                     // a refusal: it says more of the moment
 	holdSpan                 = 300 * Millisecond       // a brief hold: three looks for room
 	tick, askAgain           = Second / 10, 1 * Second // housekeeping; a failed list call is repeated
@@ -262,11 +261,7 @@
 		f.failing(v, heavyWeight, true)
 	case Full:
 		v.bad.add(f.now, fullWeight)
-		if f.set.FullFrom > 0 {
-			v.link.set(f.set.FullFrom*f.warmth(v), f.now) // whatever its report said
-		} else { // not its link then, but its places, which no report tells
-			v.openUntil = max(v.openUntil, f.now+fullRest)
-		}
+		v.link.set(max(f.set.FullFrom, 1)*f.warmth(v), f.now) // whatever its report said
 	case Moot:
 	default:
 		s.unsure = true
