--- a/policy/policy.go
+++ b/policy/policy.go
@@ -162,8 +162,8 @@
 	return w*max(known, min(known+unseen, most)) + (1-w)*avg
 }
 
-// load is the estimated use of a meter with kb more.
-func (f *Front) load(m *meter, kb float64) float64 { return f.others(m) + (m.own+kb)/m.cap }
+// load is the estimated use of a meter.
+func (f *Front) load(m *meter) float64 { return f.others(m) + m.own/m.cap }
 
 // warmth is the part of its link a server just started gives at the least; its reports are parts of that.
 func (f *Front) warmth(v *server) float64 {
@@ -176,8 +176,8 @@
 
 // room is what link and uplink still take under a limit, in kB a second.
 func (f *Front) room(v *server, limit float64) (link, uplink float64) {
-	link = (limit*f.warmth(v) - f.load(&v.link, 0)) * v.link.cap
-	return link, (limit - f.load(&v.rack.meter, 0)) * v.rack.cap
+	link = (limit*f.warmth(v) - f.load(&v.link)) * v.link.cap
+	return link, (limit - f.load(&v.rack.meter)) * v.rack.cap
 }
 
 // highest is the rung rule: the highest rung that link and uplink take under the mark, -1 if not even the
@@ -196,7 +196,7 @@
 
 // busy is the fuller of link and uplink.
 func (f *Front) busy(v *server) float64 {
-	return max(f.load(&v.link, 0)/f.warmth(v), f.load(&v.rack.meter, 0))
+	return max(f.load(&v.link)/f.warmth(v), f.load(&v.rack.meter))
 }
 
 // ---- Sessions come and go ----
@@ -501,7 +501,7 @@
 	for _, o := range v.rack.parts {
 		like = like || o != v && f.now-o.shortAt < rackTogether && math.Abs(o.share-share) < rackLike
 	}
-	if like && f.load(&v.rack.meter, 0) > f.load(m, 0) {
+	if like && f.load(&v.rack.meter) > f.load(m) {
 		m = &v.rack.meter
 	}
 	v.share, v.shortAt = share, f.now
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -661,7 +661,7 @@
 	w := newWorld(t, set)
 	w.do(Handed{Ask: w.ask(1, 0), Server: 1})
 	w.do(Note{ID: 1, Server: 1, Kind: NoteRung, Value: 2})
-	if got := w.f.load(&w.f.fleet.get(1).link, 0); got < 0.59 || got > 0.61 {
+	if got := w.f.load(&w.f.fleet.get(1).link); got < 0.59 || got > 0.61 {
 		t.Fatalf("use %.2f, want 0.6", got)
 	}
 }
@@ -690,7 +690,7 @@
 	for id := uint32(1); id <= 4; id++ {
 		w.do(Probed{Server: id, Report: []float64{0.5}})
 	}
-	if got := w.f.load(&w.f.racks[0].meter, 0); got < 0.49 || got > 0.51 {
+	if got := w.f.load(&w.f.racks[0].meter); got < 0.49 || got > 0.51 {
 		t.Fatalf("uplink use %.2f, want the 0.5 of its two servers", got)
 	}
 }
@@ -728,7 +728,7 @@
 		w.useAll(0.3)
 		w.now += Second
 		w.place(1, 0)
-		return w.f.load(&w.f.byID[1].at.link, 0)
+		return w.f.load(&w.f.byID[1].at.link)
 	}
 	if alone, six := room(1), room(6); six < alone+0.1 || six > mark+1e-9 {
 		t.Fatalf("estimated use %.2f alone, %.2f beside five others", alone, six)
--- a/policy/state.go
+++ b/policy/state.go
@@ -125,7 +125,6 @@
 	unsure   bool // an attempt may have run
 	playing  bool
 	left     bool // the viewer is gone; an attempt is still out
-	arrived  Time
 	started  Time
 	changed  Time // last change of rung while playing
 	holding  Time // held for room since; 0: not
@@ -252,7 +251,7 @@
 }
 
 func (f *Front) take(a Ask) *session {
-	s := &session{Ask: a, arrived: f.now, rung: f.set.Classes[a.Class].Floor}
+	s := &session{Ask: a, rung: f.set.Classes[a.Class].Floor}
 	s.weight = f.class(s).Worth
 	f.byID[a.ID] = s
 	return s
