--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,6 @@
 	lookFrom              = 0.6                    // rank from which a choice needs the report
 	lookAt                = 2                      // one stale among so many best: look at all
 	leaveFrom             = 1.0                    // from so many rungs under the rack's mean
-	pressTo               = 0.9                    // use that a request without room makes own sessions give way to
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
@@ -401,9 +400,6 @@
 			f.probe(v, probeBlock)
 		}
 		f.do(Timer{tokenHeld, max(s.holding-f.now, 0)})
-		if len(s.list) > 0 && free && !asked {
-			f.press(s.list[0])
-		}
 	}
 	s.list = nil
 	if f.now >= s.holding {
@@ -520,39 +516,24 @@
 	}
 	f.probe(v, 0)
 	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
-		v.shedAt = f.now
-		f.lower(&v.link, v.held, v.link.own*share*shedTarget)
+		f.shed(v, share)
 	}
 	if v.shorts >= moveNotes {
 		f.moveOff(v)
 	}
 }
 
-// press makes room where a request finds none: what its best holder's link or uplink is asked over the mark,
-// own sessions there give up, as on a short note. Harm: a crowd that leaves at once has cost rung changes.
-func (f *Front) press(v *server) {
-	m, held := &v.link, v.held
-	if f.load(&v.rack.meter) > f.load(m)/f.warmth(v) {
-		m, held = &v.rack.meter, nil
-		for _, o := range v.rack.parts {
-			held = append(held, o.held...)
-		}
-	}
-	if f.now-m.pressedAt > f.set.SeeLate+shedPause {
-		m.pressedAt = f.now
-		f.lower(m, held, m.own*min(pressTo/f.load(m), 1))
-	}
-}
-
-// lower takes own sessions' rungs down, least worth lost per kB first, until the own rate is at a target. Each
-// front does its part. Harm: a moment's shortness costs rung changes.
-func (f *Front) lower(m *meter, held []*session, target float64) {
-	for m.own > target {
+// shed lowers own sessions at a short server until the own rate has come down by what is missing. Each
+// front there does its part. Harm: a moment's shortness costs rung changes.
+func (f *Front) shed(v *server, share float64) {
+	v.shedAt = f.now
+	target := v.link.own * share * shedTarget
+	for v.link.own > target {
 		var best *session
 		to, least := 0, math.Inf(1)
-		for _, s := range held {
+		for _, s := range v.held {
 			for r := s.rung - 1; r >= f.class(s).Floor && !s.left; r-- {
-				freed := min(f.kb(s, s.rung)-f.kb(s, r), m.own-target)
+				freed := min(f.kb(s, s.rung)-f.kb(s, r), v.link.own-target)
 				if cost := (f.worth(s, s.rung) - f.worth(s, r) + f.change(s)) / freed; cost < least {
 					best, to, least = s, r, cost
 				}
--- a/policy/state.go
+++ b/policy/state.go
@@ -9,15 +9,14 @@
 
 // meter follows the rate asked of a link or of a rack's uplink.
 type meter struct {
-	cap       float64 // rough size, kB a second
-	own       float64 // rate of this front's sessions, set-ups under way included
-	changes   []change
-	use       float64 // last use told, as a part of the size
-	useOwn    float64 // own rate when that was measured
-	useAt     Time    // when it was measured
-	told      bool
-	pressedAt Time      // when own sessions on it last gave way to a request without room
-	parts     []*server // for an uplink: the servers behind it
+	cap     float64 // rough size, kB a second
+	own     float64 // rate of this front's sessions, set-ups under way included
+	changes []change
+	use     float64 // last use told, as a part of the size
+	useOwn  float64 // own rate when that was measured
+	useAt   Time    // when it was measured
+	told    bool
+	parts   []*server // for an uplink: the servers behind it
 }
 
 type change struct {
