--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,6 @@
 	busyIsWarm             = 0.25                   // use by others that one just started lacks
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
-	mildNotes             = 3                      // a milder shortness calls for them too if it lasts for so many notes
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, of a link
 	lookFrom              = 0.6                    // rank from which a choice needs the report
@@ -494,7 +493,7 @@
 // sessions, a neighbour, a sagging uplink or a server that stands still.
 func (f *Front) short(v *server, share float64) {
 	if share >= fullShare {
-		v.shorts, v.notes = 0, 0
+		v.shorts = 0
 		return
 	}
 	// A short uplink shows at several of its servers at once and alike; else it is the server's own link.
@@ -516,9 +515,7 @@
 		v.shorts++
 	}
 	f.probe(v, 0)
-	v.notes++
-	lasting := share < shortNote || v.notes >= mildNotes
-	if lasting && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
+	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
 		f.shed(v, share)
 	}
 	if v.shorts >= moveNotes {
--- a/policy/state.go
+++ b/policy/state.go
@@ -105,7 +105,6 @@
 	shortAt  Time // last short note
 	share    float64
 	shedAt   Time // when sessions here were last lowered for being short
-	notes    int  // short notes in a row
 	shorts   int  // short notes in a row under the moving limit
 	probing  bool
 	score    float64 // its place in the ranking last made
