--- a/policy/policy.go
+++ b/policy/policy.go
@@ -117,7 +117,7 @@
 		x := values[i]
 		switch field {
 		case FieldLink, FieldUtil:
-			f.told(&v.link, x*f.warmth(v), reportLag)
+			f.told(&v.link, x, reportLag)
 		case FieldUplink:
 			f.told(&v.rack.meter, x, reportLag)
 		}
@@ -165,18 +165,9 @@
 // load is the estimated use of a meter.
 func (f *Front) load(m *meter) float64 { return f.others(m) + m.own/m.cap }
 
-// warmth is the part of its link a server just started gives at the least; its reports are parts of that.
-func (f *Front) warmth(v *server) float64 {
-	if f.now >= v.coldUntil || f.set.ColdSpan <= 0 {
-		return 1
-	}
-	done := 1 - float64(v.coldUntil-f.now)/float64(f.set.ColdSpan)
-	return f.set.ColdFrom + (1-f.set.ColdFrom)*max(done, 0)
-}
-
 // room is what link and uplink still take under a limit, in kB a second.
 func (f *Front) room(v *server, limit float64) (link, uplink float64) {
-	link = (limit*f.warmth(v) - f.load(&v.link)) * v.link.cap
+	link = (limit - f.load(&v.link)) * v.link.cap
 	return link, (limit - f.load(&v.rack.meter)) * v.rack.cap
 }
 
@@ -196,7 +187,7 @@
 
 // busy is the fuller of link and uplink.
 func (f *Front) busy(v *server) float64 {
-	return max(f.load(&v.link)/f.warmth(v), f.load(&v.rack.meter))
+	return max(f.load(&v.link), f.load(&v.rack.meter))
 }
 
 // ---- Sessions come and go ----
@@ -261,7 +252,7 @@
 		f.failing(v, heavyWeight, true)
 	case Full:
 		v.bad.add(f.now, fullWeight)
-		v.link.set(max(f.set.FullFrom, 1)*f.warmth(v), f.now) // whatever its report said
+		v.link.set(max(f.set.FullFrom, 1), f.now) // whatever its report said
 	case Moot:
 	default:
 		s.unsure = true
@@ -481,7 +472,7 @@
 			f.occupy(s, 1)
 		}
 	case NoteLink:
-		f.told(&v.link, e.Value*f.warmth(v), f.set.SeeLate)
+		f.told(&v.link, e.Value, f.set.SeeLate)
 	case NoteUplink:
 		f.told(&v.rack.meter, e.Value, f.set.SeeLate)
 	case NoteShare:
@@ -509,7 +500,7 @@
 	if share < hungShare {
 		f.failing(v, failWeight, true)
 	} else {
-		m.set(f.warmth(v)/max(share, shareLeast), f.now-f.set.SeeLate)
+		m.set(1/max(share, shareLeast), f.now-f.set.SeeLate)
 	}
 	if share < moveShare {
 		v.shorts++
