Raises take this front's part of the use, by a draw once a report, not 1/fleet

Now the part is the own part of the use (at least 1/fleet), and what a rung needs beyond it is given by a draw, once a report.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -173,18 +173,29 @@
 
 // highest is the rung rule: the highest rung that link and uplink take under the mark, -1 if not even the
 // lowest. The higher a rung, the more it must leave for those who come later. A session that plays there
-// has some of it already, and of the spare only a part may be taken.
-func (f *Front) highest(s *session, v *server, link, uplink, has, part float64) int {
+// has some of it already. With a draw (over 0) only this front's part of the spare may be taken.
+func (f *Front) highest(s *session, v *server, link, uplink, has, draw float64) int {
 	floor, base := f.class(s).Floor, f.meanRung(v.rack)-leaveFrom
 	for rung := f.top(s); rung >= floor; rung-- {
 		left := leaveMost * min(float64(rung-floor), max(float64(rung)-base, 0)) / float64(len(f.set.RungKB))
-		if f.kb(s, rung)-has <= part*min(link-left*v.link.cap, uplink-left*v.rack.cap) {
+		if f.kb(s, rung)-has <= min((link-left*v.link.cap)*f.part(&v.link, draw),
+			(uplink-left*v.rack.cap)*f.part(&v.rack.meter, draw)) {
 			return rung
 		}
 	}
 	return -1
 }
 
+// part is this front's part of the spare: its part of the use, so that the parts of all add up to one, but
+// no less than it has as one of them. One of hundreds has too little for a whole rung: a draw gives it
+// more, as seldom as the more is large.
+func (f *Front) part(m *meter, draw float64) float64 {
+	if draw <= 0 {
+		return 1
+	}
+	return min(1, max(m.own/max(f.load(m)*m.cap, m.own, 1), 1/float64(max(f.set.Fleet, 1)))/draw)
+}
+
 // busy is the fuller of link and uplink.
 func (f *Front) busy(v *server) float64 {
 	return max(f.load(&v.link), f.load(&v.rack.meter))
@@ -379,7 +390,7 @@
 			continue
 		}
 		link, uplink := f.room(v, mark)
-		if rung := f.highest(s, v, link, uplink, 0, 1); rung >= 0 {
+		if rung := f.highest(s, v, link, uplink, 0, 0); rung >= 0 {
 			f.send(s, v, rung)
 			return
 		}
@@ -557,7 +568,7 @@
 			if o.rack == v.rack && v.share >= hungShare || f.open(o, s) {
 				continue
 			}
-			if link, uplink := f.room(o, mark); f.highest(s, o, link, uplink, 0, 1) >= 0 {
+			if link, uplink := f.room(o, mark); f.highest(s, o, link, uplink, 0, 0) >= 0 {
 				f.moves.tokens--
 				f.move(s, pastMost)
 				if v.share >= hungShare {
@@ -612,6 +623,10 @@
 		f.probe(v, probeStale)
 		return
 	}
+	draw := 1.0
+	if v.raisedOn != v.link.useAt { // one draw a report: more would take more than a part
+		v.raisedOn, draw = v.link.useAt, 1-f.rng.Float64()
+	}
 	for {
 		link, uplink := f.room(v, mark-raiseGap)
 		var best *session
@@ -620,7 +635,7 @@
 			if !s.playing || s.left || f.now-s.changed < restRung {
 				continue
 			}
-			r := f.highest(s, v, link, uplink, f.kb(s, s.rung), 1/float64(max(f.set.Fleet, 1)))
+			r := f.highest(s, v, link, uplink, f.kb(s, s.rung), draw)
 			if net := f.worth(s, r) - f.worth(s, s.rung) - changeTimes*f.change(s); r > s.rung && net > most {
 				best, to, most = s, r, net
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -794,3 +794,26 @@
 		t.Fatalf("%d looks at 4 servers with sessions", n)
 	}
 }
+
+// One of hundreds of fronts has too small a part of the spare for a whole rung; all together still take it.
+func TestHundredsOfFrontsRaiseIntoTheSpareTogether(t *testing.T) {
+	set := settings()
+	set.Fleet = 200
+	raised := 0.0
+	const fronts = 400
+	for seed := uint64(1); seed <= fronts; seed++ {
+		w := &world{t: t, f: New(set, seed), now: start}
+		w.do(List{Kind: ListCached, Entries: []Entry{entry(1), entry(2)}})
+		w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+		w.do(Note{ID: 1, Server: 1, Kind: NoteRung, Value: 1})
+		w.now += 10 * Second
+		w.use(1, 0.5, 0.25) // one of five such sessions on the link
+		for _, r := range of[Rate](w.run(3 * Second)) {
+			raised += set.RungKB[r.Rung] - 100
+		}
+	}
+	// Five such fronts, with 350 kB a second of spare between them under the mark.
+	if five := raised / fronts * 5; five < 35 || five > 350 {
+		t.Fatalf("five fronts raise by %.0f kB a second", five)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -102,6 +102,7 @@
 	coldUntil Time     // paced until then
 	pace      bucket
 
+	raisedOn Time // report that the last look for lasting spare rested on
 	shortAt  Time // last short note
 	share    float64
 	shedAt   Time // when sessions here were last lowered for being short
