Lowering draws for its last step, so that hundreds of fronts don't all lower a rung

Now the last step is drawn: the missing part of it, plus this front's part of the use, so that one of all rounds up.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -544,6 +544,12 @@
 		if best == nil {
 			return
 		}
+		// A whole rung of each of hundreds would be far too much: the missing part of it is the chance to
+		// lower it, and a little more, so that one of all rounds up.
+		over, freed := v.link.own-target, f.kb(best, best.rung)-f.kb(best, to)
+		if f.rng.Float64()-f.part(&v.link, 1) > over/freed {
+			return
+		}
 		f.setRung(best, to)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -817,3 +817,23 @@
 		t.Fatalf("five fronts raise by %.0f kB a second", five)
 	}
 }
+
+// A link that is a tenth short wants a tenth less of each front, not a rung less of every front.
+func TestHundredsOfFrontsLowerByWhatIsMissing(t *testing.T) {
+	set := settings()
+	set.Fleet = 200
+	lowered := 0
+	const fronts = 400
+	for seed := uint64(1); seed <= fronts; seed++ {
+		w := &world{t: t, f: New(set, seed), now: start}
+		w.do(List{Kind: ListCached, Entries: []Entry{entry(1), entry(2)}})
+		w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+		w.do(Note{ID: 1, Server: 1, Kind: NoteRung, Value: 1})
+		w.now += 10 * Second
+		w.use(1, 1.1, 0.5)
+		lowered += len(of[Rate](w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.9})))
+	}
+	if part := float64(lowered) / fronts; part < 0.15 || part > 0.6 {
+		t.Fatalf("%.2f of the fronts lower their session to the half, want about 0.3", part)
+	}
+}
