Shuffle holders alike before ranking, and let unused cold tokens of many fronts lapse

Ties are now broken by a shuffle from the front's own seed. Where a token of each is more than the server may be sent within the span, fronts now start anywhere between two tokens and an unused one lapses. A server told started is no longer probed for its warmth.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -101,7 +101,7 @@
 		v, restarted := f.book(e)
 		if restarted { // what was known of the old process says nothing of the new one
 			v.link.told, v.openUntil, v.backoff, v.failed = false, 0, 0, false
-			v.pace = bucket{at: f.now}
+			v.pace = bucket{tokens: f.rng.Float64(), at: f.now}
 		}
 		if e.Started > 0 && e.Started+f.set.ColdSpan > f.now {
 			v.coldUntil = max(v.coldUntil, e.Started+f.set.ColdSpan)
@@ -327,8 +327,22 @@
 	if v.Kind < len(f.set.KindSlots) {
 		slots = f.set.KindSlots[v.Kind]
 	}
-	perS := slots / (float64(f.set.ColdSpan) / float64(Second)) * f.set.ColdFrom * f.set.ColdTimes
-	return v.pace.fill(f.now, perS*paceMargin/float64(max(f.set.Fleet, 1)), 1)
+	fleet, span := float64(max(f.set.Fleet, 1)), float64(f.set.FallSpan)/float64(Second)
+	pushes := slots / (float64(f.set.ColdSpan) / float64(Second)) * f.set.ColdFrom * f.set.ColdTimes
+	perS, most := pushes*paceMargin/fleet, 1.0
+	// Where a token of each front is more than it may be sent within the span, fronts start anywhere between
+	// two tokens, and one not used for that span lapses: saved up, they would come all at once.
+	many := fleet > pushes*span
+	if many {
+		most += perS * span
+	}
+	if many && v.pace.at == 0 {
+		v.pace = bucket{tokens: f.rng.Float64(), at: f.now}
+	}
+	if v.pace.fill(f.now, perS, most) >= most && many {
+		v.pace.tokens = 0
+	}
+	return v.pace.tokens
 }
 
 // ---- Placement ----
@@ -342,7 +356,9 @@
 				continue
 			}
 			if f.cold(v) {
-				f.probe(v, probeBlock) // its report may tell that it is warm
+				if !v.failed && f.now >= v.coldUntil {
+					f.probe(v, probeBlock) // its report may tell that it is warm
+				}
 				continue
 			}
 			v.score = f.busy(v) + tallyWeight*v.bad.sum(f.now, tallyWindow)
@@ -360,6 +376,9 @@
 	if s.despite = len(list) == 0 && !f.class(s).Paid; s.despite {
 		collect(true)
 	}
+	// Of holders alike, as those never heard from are, each front takes another first: in the order of the
+	// list hundreds of fronts would all take the same.
+	f.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	sort.SliceStable(list, func(i, j int) bool { return list[i].score < list[j].score })
 	return list[:min(len(list), listLen)]
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -837,3 +837,43 @@
 		t.Fatalf("%.2f of the fronts lower their session to the half, want about 0.3", part)
 	}
 }
+
+// Fronts that know nothing of the holders don't all take the same one.
+func TestFrontsSpreadOverHoldersAlike(t *testing.T) {
+	set := settings()
+	set.Fleet = 100
+	got := map[uint32]int{}
+	for seed := uint64(1); seed <= 100; seed++ {
+		w := &world{t: t, f: New(set, seed), now: start}
+		w.do(List{Kind: ListCached, Entries: []Entry{entry(1), entry(2), entry(3), entry(4)}})
+		got[one[Send](t, w.do(Request{w.ask(1, 0)})).Server]++
+	}
+	for id := uint32(1); id <= 4; id++ {
+		if got[id] < 10 {
+			t.Fatalf("sends %v", got)
+		}
+	}
+}
+
+// Hundreds of fronts that hear of a newcomer at once, and have waited for it, must not push it over.
+func TestHundredsOfFrontsKeepTheColdPaceTogether(t *testing.T) {
+	set := settings()
+	set.Fleet, set.ColdSpan, set.FallSpan, set.ColdFrom, set.ColdTimes = 200, 12*Second, 2*Second, 0.5, 2
+	sends := 0
+	for seed := uint64(1); seed <= 200; seed++ {
+		w := &world{t: t, f: New(set, seed), now: start}
+		e := entry(1)
+		e.Started = start
+		w.do(List{Kind: ListCached, Entries: []Entry{e}})
+		a := w.ask(1, 0)
+		a.Copies = 1
+		sends += len(of[Send](w.do(Request{a})))
+		w.run(9 * Second) // a quarter of the fronts or more have had a token by now
+		a = w.ask(2, 0)
+		a.Copies = 1
+		sends += len(of[Send](w.do(Request{a})))
+	}
+	if sends > 6 { // 40 places in 12 s, half warm, twice that, for 2 s
+		t.Fatalf("%d set-ups at two moments", sends)
+	}
+}
