--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,7 +26,7 @@
 	reportLag, keepChanges  = 4 * Second / 10, 5 * Second // age of a report that comes; past any lateness
 	staleHalf, meanBlend    = 8 * Second, 0.1             // a report's half-life; its weight in the average
 	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
-	alikeMost               = 2.0                         // times that own late additions count, for others
+	alikePart               = 1.0                         // of own late additions, for each other front
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
 	probeEach               = 1.2                         // probes a request earns: half a point at most
@@ -141,8 +141,8 @@
 // As it ages it gives way to the fleet's average, which also stands for servers not yet heard from.
 func (f *Front) others(m *meter) float64 {
 	avg := f.mean
-	if n := float64(f.set.Fleet); m.own > 0 { // own use tells as little as this front is a small part of all
-		avg = f.mean*(1-1/n) + m.own/m.cap*(n-1)/n
+	if m.own > 0 {
+		avg = (f.mean + m.own/m.cap*float64(f.set.Fleet-1)) / 2
 	}
 	if m.parts != nil && !slices.Contains(f.set.Fields, FieldUplink) { // never reported
 		avg = 0
@@ -156,9 +156,8 @@
 		return avg
 	}
 	known := max(m.use-m.useOwn/m.cap, 0)
-	// What this front has added since, others that saw the same room are taken to have added too, but not
-	// each of hundreds: what one adds is chance as much as the room.
-	unseen := max(m.own-m.useOwn, 0) / m.cap * alikeMost * (1 - 1/float64(max(f.set.Fleet, 1)))
+	// What this front has added since, the others that saw the same room are taken to have added too.
+	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1) * alikePart
 	w := math.Exp2(-float64(f.now-m.useAt) / float64(staleHalf))
 	return w*max(known, min(known+unseen, most)) + (1-w)*avg
 }
@@ -670,6 +669,5 @@
 			return
 		}
 		f.setRung(best, to)
-		draw = 1 // what it gave is spent
 	}
 }
