Probes go to choices: holders unheard of are looked at where answers report too

Now no probe on a short note; a look also where reports come with answers, if one of the two best holders is unheard; at most four holders are probed for a request (a live title has 155).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,7 @@
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, of a link
 	lookFrom              = 0.6                    // rank from which a choice needs the report
-	lookAt                = 2                      // one stale among so many best: look at all
+	lookAt, lookMost      = 2, 4                   // one stale among so many best: look at more
 	leaveFrom             = 1.0                    // from so many rungs under the rack's mean
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
@@ -162,6 +162,9 @@
 	return w*max(known, min(known+unseen, most)) + (1-w)*avg
 }
 
+// unheard tells whether a server's use is a guess more than a report.
+func (f *Front) unheard(v *server) bool { return !v.link.told || f.now-v.link.useAt > staleHalf }
+
 // load is the estimated use of a meter.
 func (f *Front) load(m *meter) float64 { return f.others(m) + m.own/m.cap }
 
@@ -398,7 +401,7 @@
 	free := seats <= 0 || f.count(s.Class, s.Title) < seats
 	asked := false
 	for _, v := range s.list[:min(len(s.list), lookAt)] {
-		look := s.holding == 0 && s.attempts == 0 && !f.set.Inline && v.score > lookFrom
+		look := s.holding == 0 && s.attempts == 0 && v.score > lookFrom && (!f.set.Inline || f.unheard(v))
 		asked = look && f.probe(v, probeStale) || asked
 	}
 	for _, v := range s.list {
@@ -417,7 +420,7 @@
 	if s.holding == 0 {
 		s.holding = min(f.now+holdSpan, s.Deadline-lastTry)
 		f.waiting = append(f.waiting, s)
-		for _, v := range s.list {
+		for _, v := range s.list[:min(len(s.list), lookMost)] {
 			f.probe(v, probeBlock)
 		}
 		f.do(Timer{tokenHeld, max(s.holding-f.now, 0)})
@@ -535,7 +538,6 @@
 	if share < moveShare {
 		v.shorts++
 	}
-	f.probe(v, 0)
 	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
 		f.shed(v, share)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -877,3 +877,24 @@
 		t.Fatalf("%d set-ups at two moments", sends)
 	}
 }
+
+// Where answers report, one of hundreds of fronts hears of most servers never: it looks before it chooses.
+func TestUnheardHoldersAreLookedAtWhereAnswersReport(t *testing.T) {
+	set := settings()
+	set.Fleet, set.MayProbe = 200, true
+	w := newWorld(t, set)
+	w.f.mean = 0.7
+	acts := w.do(Request{w.ask(1, 0)})
+	none[Send](t, acts)
+	if n := len(of[Probe](acts)); n < 2 || n > lookMost {
+		t.Fatalf("%d probes", n)
+	}
+	for _, p := range of[Probe](acts) {
+		w.do(Probed{Server: p.Server, Report: []float64{0.9 - 0.1*float64(p.Server), 0.1}})
+	}
+	if s := one[Send](t, w.run(tick)); s.Server != 4 {
+		t.Fatalf("%v", s)
+	}
+	// A holder heard of a moment ago needs no look.
+	none[Probe](t, w.do(Request{w.ask(2, 0)}))
+}
