--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	alikePart               = 1.0                         // of own late additions, for each other front
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
-	probeEach               = 2.4                         // probes a request earns: half a point at most
+	probeEach               = 1.2                         // probes a request earns: half a point at most
 	probesStart, probesMost = 20.0, 20.0                  // at the start, a look at most servers; saved
 	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if it blocks a request, else
 
