--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,6 +42,7 @@
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
 	leaveMost             = 0.4                    // spare the highest rung must leave, of a link
+	guessLeave            = 0.15                   // spare that all but the floor leave where all is a guess
 	lookFrom              = 0.6                    // rank from which a choice needs the report
 	lookAt, lookMost      = 2, 4                   // one stale among so many best: look at more
 	leaveFrom             = 1.0                    // from so many rungs under the rack's mean
@@ -158,8 +159,16 @@
 	known := max(m.use-m.useOwn/m.cap, 0)
 	// What this front has added since, the others that saw the same room are taken to have added too.
 	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1) * alikePart
-	w := math.Exp2(-float64(f.now-m.useAt) / float64(staleHalf))
-	return w*max(known, min(known+unseen, most)) + (1-w)*avg
+	w := f.guess(m)
+	return (1-w)*max(known, min(known+unseen, most)) + w*avg
+}
+
+// guess tells how much of an estimated use is a guess: all of it without a report, less the newer it is.
+func (f *Front) guess(m *meter) float64 {
+	if !m.told {
+		return 1
+	}
+	return 1 - math.Exp2(-float64(f.now-m.useAt)/float64(staleHalf))
 }
 
 // unheard tells whether a server's use is a guess more than a report.
@@ -181,8 +190,12 @@
 	floor, base := f.class(s).Floor, f.meanRung(v.rack)-leaveFrom
 	for rung := f.top(s); rung >= floor; rung-- {
 		left := leaveMost * min(float64(rung-floor), max(float64(rung)-base, 0)) / float64(len(f.set.RungKB))
+		leftUp := left
+		if rung > floor { // what rests on a guess may be far out, and shortness costs more than a low rung
+			left, leftUp = left+guessLeave*f.guess(&v.link), leftUp+guessLeave*f.guess(&v.rack.meter)
+		}
 		if f.kb(s, rung)-has <= min((link-left*v.link.cap)*f.part(&v.link, draw),
-			(uplink-left*v.rack.cap)*f.part(&v.rack.meter, draw)) {
+			(uplink-leftUp*v.rack.cap)*f.part(&v.rack.meter, draw)) {
 			return rung
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -898,3 +898,19 @@
 	// A holder heard of a moment ago needs no look.
 	none[Probe](t, w.do(Request{w.ask(2, 0)}))
 }
+
+// What rests on a guess leaves spare: the same holder, heard of a moment ago at the same use, gets more.
+func TestAGuessLeavesSpare(t *testing.T) {
+	rung := func(told bool) int {
+		w := newWorld(t, settings())
+		w.f.mean = 0.6
+		for id := uint32(1); told && id <= 4; id++ {
+			w.use(id, 0.6, 0.6)
+		}
+		one[Send](t, w.do(Request{w.ask(1, 0)}))
+		return w.f.byID[1].rung
+	}
+	if guess, known := rung(false), rung(true); guess >= known || known < 1 {
+		t.Fatalf("rung %d by a guess, %d by a report", guess, known)
+	}
+}
