--- a/policy/policy.go
+++ b/policy/policy.go
@@ -192,7 +192,8 @@
 		left := leaveMost * min(float64(rung-floor), max(float64(rung)-base, 0)) / float64(len(f.set.RungKB))
 		leftUp := left
 		if rung > floor { // what rests on a guess may be far out, and shortness costs more than a low rung
-			left, leftUp = left+guessLeave*f.guess(&v.link), leftUp+guessLeave*f.guess(&v.rack.meter)
+			link, up := f.guess(&v.link), f.guess(&v.rack.meter)
+			left, leftUp = left+guessLeave*link, leftUp+guessLeave*max(up-link, 0) // the same spare once
 		}
 		if f.kb(s, rung)-has <= min((link-left*v.link.cap)*f.part(&v.link, draw),
 			(uplink-leftUp*v.rack.cap)*f.part(&v.rack.meter, draw)) {
