--- a/policy/policy.go
+++ b/policy/policy.go
@@ -230,11 +230,11 @@
 	}
 	s := f.take(a)
 	f.taken.add(f.now, 1)
-	f.probes = min(f.probes+probeEach, probesMost)
 	if a.Moved {
 		s.moved, s.from = true, f.past.from[a.Viewer]
 	}
-	if !a.Again && !a.Moved {
+	if !a.Again && !a.Moved { // first tries: by their number probes are priced
+		f.probes = min(f.probes+probeEach, probesMost)
 		f.typicalN = min(f.typicalN+1, typicalOver)
 		f.typical += (f.worth(s, f.top(s)) - f.typical) / f.typicalN
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -914,3 +914,19 @@
 		t.Fatalf("rung %d by a guess, %d by a report", guess, known)
 	}
 }
+
+// Viewers who come again and again to a full fleet must not each pay for a look.
+func TestOnlyFirstTriesEarnProbes(t *testing.T) {
+	w := newWorld(t, settings())
+	w.f.probes = 0
+	a := w.ask(1, 0)
+	a.Again = true
+	w.do(Request{a})
+	if w.f.probes != 0 {
+		t.Fatalf("%v probes", w.f.probes)
+	}
+	w.do(Request{w.ask(2, 0)})
+	if w.f.probes != probeEach {
+		t.Fatalf("%v probes", w.f.probes)
+	}
+}
