--- a/policy/policy.go
+++ b/policy/policy.go
@@ -605,8 +605,9 @@
 			continue
 		}
 		for _, o := range f.candidates(s) {
-			// A server that stands still says nothing against its rack.
-			if o.rack == v.rack && v.share >= hungShare || f.open(o, s) {
+			// A server that stands still says nothing against its rack, and any other is better than it. From
+			// one that is only short, a guess at where there's room is no reason to move.
+			if (o.rack == v.rack || f.unheard(o)) && v.share >= hungShare || f.open(o, s) {
 				continue
 			}
 			if link, uplink := f.room(o, mark); f.highest(s, o, link, uplink, 0, 0) >= 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -550,6 +550,21 @@
 	}
 }
 
+// Hundreds of fronts moved sessions to holders that none had heard of, and on again from there.
+func TestNoMoveToAHolderUnheardOf(t *testing.T) {
+	w := newWorld(t, settings())
+	for id := uint64(1); id <= 9; id++ {
+		w.do(Handed{Ask: w.ask(id, 0), Server: 1})
+		w.do(Note{ID: id, Server: 1, Kind: NoteRung, Value: 3})
+	}
+	for i := 0; i < 4; i++ {
+		w.now += Second
+		none[Move](t, w.do(Note{ID: 9, Server: 1, Kind: NoteShare, Value: 0.85}))
+	}
+	w.use(2, 0.3, 0.3)
+	one[Move](t, w.do(Note{ID: 9, Server: 1, Kind: NoteShare, Value: 0.85}))
+}
+
 func TestMovesArePacedAndMustEarnTheirPrice(t *testing.T) {
 	count := func(price float64) (n int) {
 		set := settings()
@@ -560,6 +575,7 @@
 			w.do(Note{ID: id, Server: 1, Kind: NoteRung, Value: 3})
 		}
 		w.place(20, 0) // sets what a typical session is worth
+		w.useAll(0.3)
 		for i := 0; i < 4; i++ {
 			w.now += Second
 			n += len(of[Move](w.do(Note{ID: 9, Server: 1, Kind: NoteShare, Value: 0.85})))
