--- a/policy/policy.go
+++ b/policy/policy.go
@@ -158,9 +158,7 @@
 	}
 	known := max(m.use-m.useOwn/m.cap, 0)
 	// What this front has added since, the others that saw the same room are taken to have added too.
-	// And all of them see the crowd that this one sees, wherever it places it.
-	unseen := max((m.own-m.useOwn)/m.cap*alikePart, (f.all.own-f.all.ownAt(m.useAt))/max(f.set.FleetKB, 1), 0) *
-		float64(f.set.Fleet-1)
+	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1) * alikePart
 	w := f.guess(m)
 	return (1-w)*max(known, min(known+unseen, most)) + w*avg
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -192,7 +192,6 @@
 	out     []Action
 	fleet   fleet
 	racks   []*rack
-	all     meter // this front's whole rate
 	byID    map[uint64]*session
 	waiting []*session
 	past    past
@@ -221,7 +220,6 @@
 	kb := sign * f.kb(s, s.rung)
 	s.at.link.add(f.now, kb, keepChanges)
 	s.at.rack.add(f.now, kb, keepChanges)
-	f.all.add(f.now, kb, keepChanges)
 }
 
 func (f *Front) enter(s *session, v *server) {
