--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,7 +50,6 @@
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
 	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
-	probePays             = 2.0                    // spare times a raise must earn a probe's price so often
 	changeTimes           = 3.0                    // a raise earns its price so often: it may be undone
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
@@ -634,20 +633,12 @@
 	return s.Length
 }
 
-// probe asks for a report that would be newer than stale, as far as requests have earned it.
 func (f *Front) probe(v *server, stale Time) bool {
-	if f.probes < 1 || !f.inspect(v, stale) {
-		return false
-	}
-	f.probes--
-	return true
-}
-
-func (f *Front) inspect(v *server, stale Time) bool {
-	if !f.set.MayProbe || v.probing || f.now-v.probedAt < Second ||
+	if !f.set.MayProbe || v.probing || f.probes < 1 || f.now-v.probedAt < Second ||
 		(v.link.told && f.now-v.link.useAt < stale) {
 		return false
 	}
+	f.probes--
 	v.probing, v.probedAt = true, f.now
 	f.do(Probe{v.Server})
 	return true
@@ -671,14 +662,7 @@
 		return
 	}
 	if !v.link.told || f.now-v.link.useAt > raiseFresh {
-		pays := false
-		for _, s := range v.held { // a raise that may come of it pays for the probe by itself
-			up := f.worth(s, min(s.rung+1, f.top(s))) - f.worth(s, s.rung) - changeTimes*f.change(s)
-			pays = pays || s.playing && !s.left && up*(mark-raiseGap-f.mean) > probePays*f.set.PriceProbe*f.typical
-		}
-		if pays {
-			f.inspect(v, probeStale)
-		}
+		f.probe(v, probeStale)
 		return
 	}
 	draw := 1.0
