--- a/policy/state.go
+++ b/policy/state.go
@@ -403,13 +403,12 @@
 	}
 }
 
-// meanRung gives the mean rung of this front's sessions in a rack.
-func (f *Front) meanRung(k *rack) float64 {
-	n, sum := 0, 0
+// rungs gives how many sessions this front has in a rack, and the sum of their rungs.
+func (f *Front) rungs(k *rack) (n, sum float64) {
 	for _, v := range k.parts {
 		for _, s := range v.held {
-			n, sum = n+1, sum+s.rung
+			n, sum = n+1, sum+float64(s.rung)
 		}
 	}
-	return float64(sum) / float64(max(n, 1))
+	return n, sum
 }
