--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,6 @@
 	guessLeave            = 0.15                   // spare that all but the floor leave where all is a guess
 	lookFrom              = 0.6                    // rank from which a choice needs the report
 	lookAt, lookMost      = 2, 4                   // one stale among so many best: look at more
-	likeAll               = 2.0                    // sessions elsewhere weigh as so many in the rack
 	leaveFrom             = 1.0                    // from so many rungs under the rack's mean
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
@@ -204,18 +203,6 @@
 	return -1
 }
 
-// meanRung is the mean rung in a rack, as far as own sessions tell: one of hundreds of fronts has hardly any
-// there, and takes all its sessions for like them.
-func (f *Front) meanRung(k *rack) float64 {
-	n, sum := f.rungs(k)
-	allN, all := 0.0, 0.0
-	for _, o := range f.racks {
-		oN, oSum := f.rungs(o)
-		allN, all = allN+oN, all+oSum
-	}
-	return (sum + likeAll*all/max(allN, 1)) / (n + likeAll)
-}
-
 // part is this front's part of the spare: its part of the use, so that the parts of all add up to one, but
 // no less than it has as one of them. One of hundreds has too little for a whole rung: a draw gives it
 // more, as seldom as the more is large.
--- a/policy/state.go
+++ b/policy/state.go
@@ -403,12 +403,13 @@
 	}
 }
 
-// rungs gives how many sessions this front has in a rack, and the sum of their rungs.
-func (f *Front) rungs(k *rack) (n, sum float64) {
+// meanRung gives the mean rung of this front's sessions in a rack.
+func (f *Front) meanRung(k *rack) float64 {
+	n, sum := 0, 0
 	for _, v := range k.parts {
 		for _, s := range v.held {
-			n, sum = n+1, sum+float64(s.rung)
+			n, sum = n+1, sum+s.rung
 		}
 	}
-	return n, sum
+	return float64(sum) / float64(max(n, 1))
 }
