--- a/policy/policy.go
+++ b/policy/policy.go
@@ -133,19 +133,9 @@
 		use = blend*use + (1-blend)*max(now, 0)
 	}
 	m.set(use, at)
-}
-
-// average gives the mean use by other fronts of the servers heard of, each once: those that many ask for are
-// reported more often. The newer a report, the more it counts; before any it is a moderate day.
-func (f *Front) average() float64 {
-	sum, n := meanStart, 1.0
-	for _, v := range f.fleet.order {
-		if m := &v.link; v.listed && m.told {
-			w := 1 - f.guess(m)
-			sum, n = sum+w*min(max(m.use-m.useOwn/m.cap, 0), 1), n+w
-		}
+	if m.parts == nil {
+		f.mean += (min(max(use-m.useOwn/m.cap, 0), 1) - f.mean) * meanBlend
 	}
-	return sum / n
 }
 
 // others is the use of a meter that is not this front's own: the last report less the own part then.
@@ -657,7 +647,6 @@
 func (f *Front) alarm() {
 	f.do(Timer{tokenTick, tick})
 	f.ticks++
-	f.mean = f.average()
 	f.retryHeld(false)
 	if f.ticks%int(Second/tick) == 0 {
 		for _, v := range f.fleet.order {
