--- a/policy/policy.go
+++ b/policy/policy.go
@@ -142,8 +142,8 @@
 // As it ages it gives way to the fleet's average, which also stands for servers not yet heard from.
 func (f *Front) others(m *meter) float64 {
 	avg := f.mean
-	if n := float64(f.set.Fleet); m.own > 0 { // own use tells as little as this front is a small part of all
-		avg = f.mean*(1-1/n) + m.own/m.cap*(n-1)/n
+	if m.own > 0 {
+		avg = (f.mean + m.own/m.cap*float64(f.set.Fleet-1)) / 2
 	}
 	if m.parts != nil && !slices.Contains(f.set.Fields, FieldUplink) { // never reported
 		avg = 0
@@ -663,10 +663,11 @@
 	}
 	if !v.link.told || f.now-v.link.useAt > raiseFresh {
 		f.probe(v, probeStale)
+		return
 	}
 	draw := 1.0
-	if v.raisedOn != v.link.useAt || f.now-v.drawnAt > raiseFresh { // one draw a report: more took too much
-		v.raisedOn, v.drawnAt, draw = v.link.useAt, f.now, 1-f.rng.Float64()
+	if v.raisedOn != v.link.useAt { // one draw a report: more would take more than a part
+		v.raisedOn, draw = v.link.useAt, 1-f.rng.Float64()
 	}
 	for {
 		link, uplink := f.room(v, mark-raiseGap)
--- a/policy/state.go
+++ b/policy/state.go
@@ -103,7 +103,6 @@
 	pace      bucket
 
 	raisedOn Time // report that the last look for lasting spare rested on
-	drawnAt  Time // and when that was
 	shortAt  Time // last short note
 	share    float64
 	shedAt   Time // when sessions here were last lowered for being short
