--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
 	probeEach               = 1.2                         // probes a request earns: half a point at most
-	probesStart, probesMost = 20.0, 20.0                  // at the start, a look at most servers; saved
+	probesStart, probesMost = 4.0, 20.0                   // at the start: a look; saved
 	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if it blocks a request, else
 
 	backoffMin, backoffMax = 1 * Second, 8 * Second // breaker's pauses: outages last 5 to 30 s
@@ -241,6 +241,18 @@
 	f.place(s)
 }
 
+// handed books a session that plays already.
+func (f *Front) handed(h Handed) {
+	v := f.fleet.get(h.Server)
+	if v == nil || !f.usable(&h.Ask) {
+		return
+	}
+	s := f.take(h.Ask)
+	f.probes = min(f.probes+probeEach, probesMost)
+	s.attempts, s.playing, s.started = 1, true, f.now
+	f.enter(s, v)
+}
+
 func (f *Front) started(e Playing) {
 	s := f.byID[e.ID]
 	if s == nil || s.at == nil || s.playing || e.Attempt != s.attempts-1 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -946,3 +946,17 @@
 		t.Fatalf("%v probes", w.f.probes)
 	}
 }
+
+// Hundreds of fronts with twenty probes each at their start paid for more probes than there were sessions.
+func TestSessionsHandedOverEarnTheProbesOfTheStart(t *testing.T) {
+	w := newWorld(t, settings())
+	if w.f.probes != probesStart {
+		t.Fatalf("%v probes at the start", w.f.probes)
+	}
+	for id := uint64(1); id <= 30; id++ {
+		w.do(Handed{Ask: w.ask(id, 0), Server: 1})
+	}
+	if w.f.probes != probesMost {
+		t.Fatalf("%v probes after 30 sessions", w.f.probes)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -295,17 +295,6 @@
 	f.forget(s)
 }
 
-// handed books a session that plays already.
-func (f *Front) handed(h Handed) {
-	v := f.fleet.get(h.Server)
-	if v == nil || !f.usable(&h.Ask) {
-		return
-	}
-	s := f.take(h.Ask)
-	s.attempts, s.playing, s.started = 1, true, f.now
-	f.enter(s, v)
-}
-
 // setRung changes the rung in force.
 func (f *Front) setRung(s *session, rung int) {
 	f.occupy(s, -1)
