--- a/policy/policy.go
+++ b/policy/policy.go
@@ -315,7 +315,7 @@
 	}
 	v.backoff = min(max(2*v.backoff, backoffMin), backoffMax)
 	v.openUntil = f.now + v.backoff
-	v.failed, v.failedAt = true, f.now
+	v.failed = true
 }
 
 // proved books a success: the breaker closes. A server that was seen failing may have restarted, cold.
@@ -323,7 +323,7 @@
 	v.good.add(f.now, 1)
 	if v.failed {
 		v.failed = false
-		v.suspectUntil = f.now + f.set.ColdSpan
+		v.coldUntil = max(v.coldUntil, f.now+f.set.ColdSpan)
 	}
 	if f.now >= v.openUntil {
 		v.backoff = 0
@@ -339,20 +339,12 @@
 	return v.failed && (f.class(s).Paid || v.trial != nil)
 }
 
-// paced tells whether a server may be cold for all this front knows: it was told started, or it failed or
-// this front is itself new, and nothing shows that it is not. Harm: a new front is slow to fill idle servers.
+// paced tells whether a server may be cold for all this front knows: it failed, it was told started, or
+// this front is itself new and has no report that the server carries others' sessions, as one just
+// started would not. Harm: a new front is slow to fill idle servers.
 func (f *Front) paced(v *server) bool {
-	suspect := v.failed || f.now < v.suspectUntil || f.now-f.born < f.set.ColdSpan
-	return f.set.ColdSpan > 0 && (f.now < v.coldUntil || suspect && !f.underWay(v))
-}
-
-// underWay tells that a process was not started since it failed: by a report it carries others' sessions, as
-// one just started would not, or an own one has played on. So a lost answer costs a server no pace.
-func (f *Front) underWay(v *server) bool {
-	if v.link.told && v.link.useAt > v.failedAt && f.others(&v.link) > busyIsWarm {
-		return true
-	}
-	return slices.ContainsFunc(v.held, func(s *session) bool { return s.playing && s.started < v.failedAt })
+	unknown := f.now-f.born < f.set.ColdSpan && !(v.link.told && f.others(&v.link) > busyIsWarm)
+	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
 
 // cold guards a server that may be cold from being pushed over: one token bucket, this front's part of the
@@ -393,7 +385,7 @@
 				continue
 			}
 			if f.cold(v) {
-				if f.now >= v.coldUntil {
+				if !v.failed && f.now >= v.coldUntil {
 					f.probe(v, probeBlock) // its report may tell that it is warm
 				}
 				continue
--- a/policy/state.go
+++ b/policy/state.go
@@ -99,11 +99,8 @@
 	backoff   Time
 	trial     *session // the half-open breaker's one session
 	failed    bool     // seen failing, and no success since
-	failedAt  Time     // when the breaker last opened
-	coldUntil Time     // told started: paced until then
-
-	suspectUntil Time // seen failing: perhaps started since
-	pace         bucket
+	coldUntil Time     // paced until then
+	pace      bucket
 
 	raisedOn Time // report that the last look for lasting spare rested on
 	shortAt  Time // last short note
