--- a/policy/policy.go
+++ b/policy/policy.go
@@ -134,9 +134,7 @@
 	}
 	m.set(use, at)
 	if m.parts == nil {
-		// One of hundreds of fronts hears seldom: then what it believed is old, and each report counts for more.
-		w := max(meanBlend, 1-math.Exp2(-float64(f.now-f.meanAt)/float64(staleHalf)))
-		f.mean, f.meanAt = f.mean+(min(max(use-m.useOwn/m.cap, 0), 1)-f.mean)*w, f.now
+		f.mean += (min(max(use-m.useOwn/m.cap, 0), 1) - f.mean) * meanBlend
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -201,7 +201,6 @@
 	extra   tally
 	ticks   int
 
-	meanAt            Time    // when a report last counted for it
 	mean              float64 // average use by other fronts' sessions, from reports
 	typical, typicalN float64 // mean worth of a session, and over how many
 }
