--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,24 +39,22 @@
 	paceMargin             = 0.5                    // part of the pushing-over pace all fronts may use
 	busyIsWarm             = 0.25                   // use by others that one just started lacks
 
-	fullShare, shortNote  = 0.98, 0.95              // all is delivered; a share that calls for lower rungs
-	shedTarget, shedPause = 0.95, 12 * Second / 10  // use it aims for; its effect shows this late
-	leaveMost             = 0.4                     // spare the highest rung must leave, of a link
-	guessLeave            = 0.15                    // spare that all but the floor leave where all is a guess
-	lookFrom              = 0.6                     // rank from which a choice needs the report
-	lookAt, lookMost      = 2, 4                    // one stale among so many best: look at more
-	leaveFrom             = 1.0                     // from so many rungs under the rack's mean
-	moveLasts, moveGap    = 3 * Second, 1.0         // shortness expected for each note; seconds a move costs
-	movesPerS, movesBurst = 2.0, 6                  // the front-wide pace of moves
-	raiseGap, raiseCalm   = 0.06, 4 * Second        // spare under the mark, and calm, for a raise
-	raiseFresh, restRung  = 8 * Second, 5 * Second  // oldest report for it; rest between changes
-	lookMin, lookMax      = 4 * Second, 64 * Second // between looks for a raise that nothing else pays
-	lookRoom              = 0.1                     // part of a link that makes them worth it
-	changeTimes           = 3.0                     // a raise earns its price so often: it may be undone
-	remains               = 20 * Second             // a session lasts so long yet, without a hint
-	typicalOver           = 50.0                    // first tries that a typical worth is averaged over
-	pastMost              = 1000                    // moved viewers remembered
-	waitLeast             = 0.85                    // least part of the longest come-back time told
+	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
+	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
+	leaveMost             = 0.4                    // spare the highest rung must leave, of a link
+	guessLeave            = 0.15                   // spare that all but the floor leave where all is a guess
+	lookFrom              = 0.6                    // rank from which a choice needs the report
+	lookAt, lookMost      = 2, 4                   // one stale among so many best: look at more
+	leaveFrom             = 1.0                    // from so many rungs under the rack's mean
+	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
+	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
+	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
+	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
+	changeTimes           = 3.0                    // a raise earns its price so often: it may be undone
+	remains               = 20 * Second            // a session lasts so long yet, without a hint
+	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
+	pastMost              = 1000                   // moved viewers remembered
+	waitLeast             = 0.85                   // least part of the longest come-back time told
 )
 
 // Tokens of the timers.
@@ -69,7 +67,7 @@
 // New makes a front.
 func New(set Settings, seed uint64) *Front {
 	f := newFront(set, seed)
-	f.born, f.mean, f.probes, f.lookWait = -1, meanStart, probesStart, raiseFresh
+	f.born, f.mean, f.probes = -1, meanStart, probesStart
 	return f
 }
 
@@ -647,20 +645,12 @@
 	return s.Length
 }
 
-// probe asks for a report newer than stale, if requests have earned it.
 func (f *Front) probe(v *server, stale Time) bool {
-	if f.probes < 1 || !f.inspect(v, stale) {
-		return false
-	}
-	f.probes--
-	return true
-}
-
-func (f *Front) inspect(v *server, stale Time) bool {
-	if !f.set.MayProbe || v.probing || f.now-v.probedAt < Second ||
+	if !f.set.MayProbe || v.probing || f.probes < 1 || f.now-v.probedAt < Second ||
 		(v.link.told && f.now-v.link.useAt < stale) {
 		return false
 	}
+	f.probes--
 	v.probing, v.probedAt = true, f.now
 	f.do(Probe{v.Server})
 	return true
@@ -684,20 +674,12 @@
 		return
 	}
 	if !v.link.told || f.now-v.link.useAt > raiseFresh {
-		// Where requests are too few to earn it, a front looks now and then, the less the less room it finds.
-		if !f.probe(v, probeStale) && f.now >= f.lookNext && f.probes < 1 && f.inspect(v, probeStale) {
-			f.lookNext = f.now + f.lookWait
-		}
+		f.probe(v, probeStale)
 		return
 	}
 	draw := 1.0
 	if v.raisedOn != v.link.useAt { // one draw a report: more would take more than a part
 		v.raisedOn, draw = v.link.useAt, 1-f.rng.Float64()
-		if link, uplink := f.room(v, mark-raiseGap); min(link, uplink) > lookRoom*v.link.cap {
-			f.lookWait = max(f.lookWait/2, lookMin)
-		} else {
-			f.lookWait = min(f.lookWait*2, lookMax)
-		}
 	}
 	for {
 		link, uplink := f.room(v, mark-raiseGap)
--- a/policy/state.go
+++ b/policy/state.go
@@ -201,8 +201,6 @@
 	extra   tally
 	ticks   int
 
-	lookNext, lookWait Time // when a look for a raise is due, and the wait after it
-
 	mean              float64 // average use by other fronts' sessions, from reports
 	typical, typicalN float64 // mean worth of a session, and over how many
 }
