--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -960,3 +960,20 @@
 		t.Fatalf("%v probes after 30 sessions", w.f.probes)
 	}
 }
+
+// Where uplinks are not reported, one of hundreds of fronts left spare for them beside its guesses of the servers.
+func TestAnUnreportedUplinkIsAGuessAsFarAsItsServersAreHeardOf(t *testing.T) {
+	set := settings()
+	set.Fields = []Field{FieldUtil}
+	w := newWorld(t, set)
+	m := &w.f.fleet.get(1).rack.meter // of servers 1 and 3
+	if g := w.f.guess(m); g != 0 {
+		t.Fatalf("guess %.2f with no server heard of", g)
+	}
+	w.do(Probed{Server: 1, Report: []float64{0.5}})
+	one := w.f.guess(m)
+	w.do(Probed{Server: 3, Report: []float64{0.5}})
+	if both := w.f.guess(m); one < 0.4 || one > 0.5 || both < 0.9 {
+		t.Fatalf("guess %.2f and %.2f with one and both heard of", one, both)
+	}
+}
