--- a/policy/policy.go
+++ b/policy/policy.go
@@ -166,7 +166,7 @@
 // guess tells how much of an estimated use is a guess: all of it without a report, less the newer it is.
 func (f *Front) guess(m *meter) float64 {
 	if m.parts != nil && !slices.Contains(f.set.Fields, FieldUplink) {
-		// Never reported: its use is that of its servers, its size unknown. Guesses of them are cautious enough.
+		// Never reported: its use is its servers', its size unknown. Guesses of them are cautious enough.
 		known := 0.0
 		for _, v := range m.parts {
 			known += (1 - f.guess(&v.link)) / float64(len(m.parts))
