A restarted front looks at two holders before it refuses all as perhaps cold

Now, if no other holder is left, two of them, drawn, are probed whatever has been earned: a refusal is dearer.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -386,7 +386,7 @@
 
 // candidates ranks the holders that may take a session now: by use, tally and distance.
 func (f *Front) candidates(s *session) []*server {
-	var list []*server
+	var list, cold []*server
 	collect := func(evenOpen bool) {
 		for _, v := range f.fleet.order {
 			if !f.holds(v, s) || v == s.from || s.hasTried(v) || f.open(v, s) != evenOpen {
@@ -394,7 +394,7 @@
 			}
 			if f.cold(v) {
 				if !v.failed && f.now >= v.coldUntil {
-					f.probe(v, probeBlock) // its report may tell that it is warm
+					cold = append(cold, v)
 				}
 				continue
 			}
@@ -409,6 +409,11 @@
 		}
 	}
 	collect(false)
+	if len(list) == 0 {
+		for _, i := range f.rng.Perm(len(cold))[:min(len(cold), lookAt)] {
+			f.inspect(cold[i], probeBlock) // it may tell that it is warm, and spare a refusal: never too dear
+		}
+	}
 	// If all look bad, the trouble may lie elsewhere: a safe request may go to one all the same.
 	if s.despite = len(list) == 0 && !f.class(s).Paid; s.despite {
 		collect(true)
@@ -653,12 +658,20 @@
 	return s.Length
 }
 
+// probe asks for a report newer than stale, if requests have earned it.
 func (f *Front) probe(v *server, stale Time) bool {
-	if !f.set.MayProbe || v.probing || f.probes < 1 || f.now-v.probedAt < Second ||
-		(v.link.told && f.now-v.link.useAt < stale) {
+	if f.probes < 1 || !f.inspect(v, stale) {
 		return false
 	}
 	f.probes--
+	return true
+}
+
+func (f *Front) inspect(v *server, stale Time) bool {
+	if !f.set.MayProbe || v.probing || f.now-v.probedAt < Second ||
+		(v.link.told && f.now-v.link.useAt < stale) {
+		return false
+	}
 	v.probing, v.probedAt = true, f.now
 	f.do(Probe{v.Server})
 	return true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -977,3 +977,22 @@
 		t.Fatalf("guess %.2f and %.2f with one and both heard of", one, both)
 	}
 }
+
+// After a restart, one of hundreds of fronts refused thousands over a pace of one set-up in minutes, with no probe left.
+func TestARestartedFrontLooksBeforeItRefuses(t *testing.T) {
+	set := settings()
+	set.Fleet, set.MayProbe, set.ColdSpan, set.FallSpan, set.ColdFrom, set.ColdTimes = 300, true, 12*Second, 3*Second, 0.4, 3
+	w := newWorld(t, set)
+	w.f.probes = 0
+	for _, v := range w.f.fleet.order {
+		v.pace = bucket{tokens: 0, at: w.now}
+	}
+	p := of[Probe](w.do(Request{w.ask(1, 0)}))
+	if len(p) != lookAt {
+		t.Fatalf("%d probes", len(p))
+	}
+	w.do(Probed{Server: p[0].Server, Report: []float64{0.4, 0.4}}) // it carries others' sessions
+	if s := one[Send](t, w.run(tick)); s.Server != p[0].Server {
+		t.Fatalf("%v", s)
+	}
+}
