--- a/policy/policy.go
+++ b/policy/policy.go
@@ -351,7 +351,7 @@
 // this front is itself new and has no report that the server carries others' sessions, as one just
 // started would not. Harm: a new front is slow to fill idle servers.
 func (f *Front) paced(v *server) bool {
-	unknown := f.now-f.born < f.set.ColdSpan && !(v.link.told && f.others(&v.link) > busyIsWarm)
+	unknown := f.now-f.born < f.set.ColdSpan && !(v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2))
 	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -996,3 +996,20 @@
 		t.Fatalf("%v", s)
 	}
 }
+
+// On a quiet day a restarted front took servers that carry as much as all others do for just started.
+func TestHalfTheMeanUsePassesForWarm(t *testing.T) {
+	set := settings()
+	set.Fleet, set.MayProbe, set.ColdSpan, set.FallSpan, set.ColdFrom, set.ColdTimes = 300, true, 12*Second, 3*Second, 0.4, 3
+	w := newWorld(t, set)
+	v := w.f.fleet.get(1)
+	w.f.mean = 0.3
+	w.use(1, 0.2, 0.2)
+	if w.f.paced(v) {
+		t.Fatal("paced at two thirds of the mean use")
+	}
+	w.f.mean = 0.8
+	if !w.f.paced(v) {
+		t.Fatal("not paced at a quarter of the mean use")
+	}
+}
