--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 	errorsTrip             = 2                      // failures that open it, if not outnumbered
 	hungShare, shareLeast  = 0.1, 0.5               // under it, it stands still; none tells more use than 2
 	paceMargin             = 0.5                    // part of the pushing-over pace all fronts may use
-	busyIsWarm             = 0.25                   // use by others that one just started lacks
+	busyIsWarm             = 0.25                   // use by others that one just started lacks, at most
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
 	shedTarget, shedPause = 0.95, 12 * Second / 10 // use it aims for; its effect shows this late
@@ -351,7 +351,8 @@
 // this front is itself new and has no report that the server carries others' sessions, as one just
 // started would not. Harm: a new front is slow to fill idle servers.
 func (f *Front) paced(v *server) bool {
-	unknown := f.now-f.born < f.set.ColdSpan && !(v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2))
+	carries := v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2)
+	unknown := f.now-f.born < f.set.ColdSpan && !carries
 	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
 
