Raises leave the probes of a look to choices, and need none where notes tell the use

A raise now probes only with more than a look's worth saved, and not at all where servers tell their use by notes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -696,7 +696,9 @@
 		return
 	}
 	if !v.link.told || f.now-v.link.useAt > raiseFresh {
-		f.probe(v, probeStale)
+		if f.set.TellEvery == 0 && f.probes > lookMost { // choices come first; notes need no probe
+			f.probe(v, probeStale)
+		}
 		return
 	}
 	draw := 1.0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1013,3 +1013,19 @@
 		t.Fatal("not paced at a quarter of the mean use")
 	}
 }
+
+// Raises spent the probes that choices needed; where notes tell the use a raise needs none.
+func TestRaisesLeaveProbesForChoices(t *testing.T) {
+	probes := func(tell Time, saved float64) int {
+		set := settings()
+		set.MayProbe, set.Inline, set.TellEvery = true, tell > 0, tell
+		w := newWorld(t, set)
+		w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+		w.f.probes = saved
+		w.now += 10 * Second
+		return len(of[Probe](w.run(2 * Second)))
+	}
+	if probes(0, lookMost) != 0 || probes(3*Second, probesMost) != 0 || probes(0, probesMost) == 0 {
+		t.Fatal(probes(0, lookMost), probes(3*Second, probesMost), probes(0, probesMost))
+	}
+}
