--- a/policy/policy.go
+++ b/policy/policy.go
@@ -300,6 +300,9 @@
 		f.failing(v, heavyWeight, true)
 	case Full:
 		v.bad.add(f.now, fullWeight)
+		if f.set.FullFrom > 0 { // it says of the unheard what a report of a full link would
+			f.mean += (1 - f.mean) * meanBlend
+		}
 		v.link.set(max(f.set.FullFrom, 1), f.now) // whatever its report said
 	case Moot:
 	default:
