--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 	leaveMost             = 0.4                    // spare the highest rung must leave, of a link
 	guessLeave            = 0.15                   // spare that all but the floor leave where all is a guess
 	lookFrom              = 0.6                    // rank from which a choice needs the report
-	lookAt, lookMost      = 2, 4                   // one stale among so many best: look at more
+	lookAt                = 2                      // best holders a look takes: two give most of it
 	leaveFrom             = 1.0                    // from so many rungs under the rack's mean
 	moveLasts, moveGap    = 3 * Second, 1.0        // shortness expected for each note; seconds a move costs
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
@@ -463,7 +463,7 @@
 	if s.holding == 0 {
 		s.holding = min(f.now+holdSpan, s.Deadline-lastTry)
 		f.waiting = append(f.waiting, s)
-		for _, v := range s.list[:min(len(s.list), lookMost)] {
+		for _, v := range s.list[:min(len(s.list), lookAt)] {
 			f.probe(v, probeBlock)
 		}
 		f.do(Timer{tokenHeld, max(s.holding-f.now, 0)})
@@ -699,7 +699,7 @@
 		return
 	}
 	if !v.link.told || f.now-v.link.useAt > raiseFresh {
-		if f.set.TellEvery == 0 && f.probes > lookMost { // choices come first; notes need no probe
+		if f.set.TellEvery == 0 && f.probes > lookAt { // choices come first; notes need no probe
 			f.probe(v, probeStale)
 		}
 		return
