Servers that left the list count no more for their rack's uplink

Cause: where uplinks are not reported their use is the sum over the rack's servers, and those taken away went on counting beside their replacements, so racks looked full. Told from a true lack of room by servers at 0.5 use refused for their uplink.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -108,6 +108,7 @@
 			v.coldUntil = max(v.coldUntil, e.Started+f.set.ColdSpan)
 		}
 	}
+	f.shelve()
 }
 
 // ---- Estimated use ----
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1030,3 +1030,25 @@
 		t.Fatal(probes(0, lookAt), probes(3*Second, probesMost), probes(0, probesMost))
 	}
 }
+
+// Servers taken away in waves went on counting for an unreported uplink, beside their replacements.
+func TestServersThatLeftTheListAskNothingOfTheirUplink(t *testing.T) {
+	set := settings()
+	set.Fields = []Field{FieldUtil}
+	w := newWorld(t, set)
+	for _, v := range w.f.fleet.order {
+		w.do(Probed{Server: v.Server, Report: []float64{0.6}})
+	}
+	before := w.f.load(&w.f.racks[0].meter)
+	gone, fresh := entry(1), entry(5)
+	gone.Health, fresh.Cell = Removed, 0
+	w.do(List{Kind: ListDelta, Entries: []Entry{gone}})
+	if l := w.f.load(&w.f.racks[0].meter); l > before*0.6 {
+		t.Fatalf("load %.2f after one of two left, %.2f before", l, before)
+	}
+	w.do(List{Kind: ListDelta, Entries: []Entry{fresh}})
+	w.do(Probed{Server: 5, Report: []float64{0.6}})
+	if l := w.f.load(&w.f.racks[0].meter); l < before*0.9 || l > before*1.1 {
+		t.Fatalf("load %.2f with the replacement, %.2f before", l, before)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -329,19 +329,29 @@
 	}
 	restarted = e.Started > v.Started
 	v.Entry, v.listed = e, e.Health == Ready
-	if k := f.racks[e.Cell%len(f.racks)]; k != v.rack {
-		v.rack, k.parts = k, append(k.parts, v)
-	}
+	v.rack = f.racks[e.Cell%len(f.racks)]
 	v.link.cap = max(e.Size*f.set.WeightKB, 1)
 	return v, restarted
 }
 
+// shelve sorts the servers into their racks: those on the list, and those gone that own sessions still play on.
+func (f *Front) shelve() {
+	for _, k := range f.racks {
+		k.parts = k.parts[:0]
+	}
+	for _, v := range f.fleet.order {
+		if v.listed || len(v.held) > 0 {
+			v.rack.parts = append(v.rack.parts, v)
+		}
+	}
+}
+
 // newFront makes empty records for the settings.
 func newFront(set Settings, seed uint64) *Front {
 	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{},
 		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}}
 	for i := 0; i < max(set.Racks, 1); i++ {
-		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1)}})
+		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1), parts: []*server{}}})
 	}
 	return f
 }
