Work for a request grows with its holders and own sessions, not with the fleet

New tests: a list of hundreds of servers, and a late pile of events with servers that left, paid set-ups and requests out of time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -392,9 +392,10 @@
 // candidates ranks the holders that may take a session now: by use, tally and distance.
 func (f *Front) candidates(s *session) []*server {
 	var list, cold []*server
+	holders := f.holders(s)
 	collect := func(evenOpen bool) {
-		for _, v := range f.fleet.order {
-			if !f.holds(v, s) || v == s.from || s.hasTried(v) || f.open(v, s) != evenOpen {
+		for _, v := range holders {
+			if v == s.from || s.hasTried(v) || f.open(v, s) != evenOpen {
 				continue
 			}
 			if f.cold(v) {
@@ -687,7 +688,7 @@
 	f.ticks++
 	f.retryHeld(false)
 	if f.ticks%int(Second/tick) == 0 {
-		for _, v := range f.fleet.order {
+		for _, v := range f.fleet.hosts {
 			f.raise(v)
 		}
 	}
@@ -696,7 +697,7 @@
 // raise gives lasting spare to the sessions that gain most by it. Other fronts see the same spare: this
 // one takes its part of it.
 func (f *Front) raise(v *server) {
-	if f.now-v.shortAt < raiseCalm || v.failed || len(v.held) == 0 {
+	if f.now-v.shortAt < raiseCalm || v.failed {
 		return
 	}
 	if !v.link.told || f.now-v.link.useAt > raiseFresh {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1052,3 +1052,98 @@
 		t.Fatalf("load %.2f with the replacement, %.2f before", l, before)
 	}
 }
+
+// hundreds makes a front that is one of 300 on 300 servers, one a cell.
+func hundreds(t *testing.T) *world {
+	set := settings()
+	set.Fleet, set.Cells, set.Racks, set.MayProbe = 300, 300, 30, true
+	w := &world{t: t, f: New(set, 1), now: start}
+	var list []Entry
+	for id := uint32(1); id <= 300; id++ {
+		list = append(list, entry(id))
+	}
+	w.do(List{Kind: ListCached, Entries: list})
+	return w
+}
+
+// With hundreds of servers a request still goes to a listed holder of its title, and to none that drains.
+func TestAListOfHundredsOfServersKeepsToTheHolders(t *testing.T) {
+	w := hundreds(t)
+	drain := entry(300)
+	drain.Health = Draining
+	w.do(List{Kind: ListDelta, Entries: []Entry{drain}})
+	met := map[uint32]bool{}
+	for id := uint64(1); id <= 40; id++ {
+		a := w.ask(id, 0)
+		a.Home, a.Copies, a.Title = 299, 3, id // cells 299, 0 and 1: servers 300, 1 and 2
+		for _, s := range of[Send](append(w.do(Request{a}), w.run(tick)...)) {
+			met[s.Server] = true
+		}
+	}
+	if len(met) != 2 || !met[1] || !met[2] {
+		t.Fatalf("sent to %v, want 1 and 2", met)
+	}
+	a := w.ask(99, 0)
+	a.Copies = 300
+	if s := one[Send](t, append(w.do(Request{a}), w.run(tick)...)); s.Server == 300 {
+		t.Fatal("sent to a draining server")
+	}
+}
+
+// A front that stood still finds all at once what came meanwhile, some of it about servers long gone.
+func TestALatePileOfEventsChangesNoRule(t *testing.T) {
+	w := hundreds(t)
+	w.do(Handed{Ask: w.ask(1000, 0), Server: 7})
+	sent := map[uint64]int{}
+	answers := map[uint64]int{}
+	count := func(acts []Action) {
+		for _, a := range acts {
+			switch x := a.(type) {
+			case Send:
+				sent[x.ID]++
+				if x.Server == 7 {
+					t.Fatal("sent to a server that is gone")
+				}
+			case Refuse:
+				answers[x.ID]++
+			case Fail:
+				answers[x.ID]++
+			}
+		}
+	}
+	for id := uint64(1); id <= 20; id++ { // paid, and set up before the standstill
+		a := w.ask(id, 1)
+		a.Title, a.Home = id, 10
+		count(append(w.do(Request{a}), w.run(tick)...))
+	}
+	w.now += 4 * Second
+	gone := entry(7)
+	gone.Health = Removed
+	count(w.do(List{Kind: ListDelta, Entries: []Entry{gone}}))
+	count(w.do(Note{ID: 1000, Server: 7, Kind: NoteShare, Value: 0.5}))
+	count(w.do(Outcome{ID: 1000, Server: 7, Status: ResetConn, Final: true}))
+	count(w.do(Probed{Server: 7, Report: []float64{0.1, 0.1}}))
+	for id := uint64(1); id <= 20; id++ {
+		for _, s := range w.f.byID {
+			if s.ID == id && s.at != nil {
+				count(w.do(Outcome{ID: id, Server: s.at.Server, Status: TimedOut}))
+				break
+			}
+		}
+	}
+	for id := uint64(21); id <= 60; id++ { // their time is nearly up or past
+		a := w.ask(id, 0)
+		a.Deadline = w.now - 2*Second + Time(id)*50*Millisecond
+		a.Home, a.Copies, a.Title = 4, 6, id // server 7 among the holders
+		count(w.do(Request{a}))
+	}
+	count(w.run(4 * Second))
+	if sent[1] != 1 {
+		t.Fatal("the first paid request was not sent")
+	}
+	for id := uint64(1); id <= 60; id++ {
+		if paid := id <= 20; paid && (sent[id] > 1 || answers[id] != 1) || sent[id]+answers[id] < 1 || answers[id] > 1 {
+			t.Fatalf("request %d: %d sends, %d answers", id, sent[id], answers[id])
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,8 +1,9 @@
 package policy
 
 import (
+	"cmp"
 	"math/rand"
-	"sort"
+	"slices"
 )
 
 // This file holds records and counters only. Every length, limit and judgement is policy.go's.
@@ -156,16 +157,30 @@
 
 // fleet keeps servers by id, and in the order of their ids.
 type fleet struct {
-	byID  map[uint32]*server
-	order []*server
+	byID   map[uint32]*server
+	order  []*server
+	byCell map[int][]*server // in the order of their ids
+	hosts  []*server         // those with own sessions, in the order of their ids
+}
+
+// insert puts a server into a list in the order of ids, once.
+func insert(list []*server, v *server) []*server {
+	i, found := slices.BinarySearchFunc(list, v.Server, func(o *server, id uint32) int { return cmp.Compare(o.Server, id) })
+	if found {
+		return list
+	}
+	return slices.Insert(list, i, v)
+}
+
+func remove(list []*server, v *server) []*server {
+	return slices.DeleteFunc(list, func(o *server) bool { return o == v })
 }
 
 func (f *fleet) get(id uint32) *server { return f.byID[id] }
 
 func (f *fleet) add(v *server) {
 	f.byID[v.Server] = v
-	f.order = append(f.order, v)
-	sort.Slice(f.order, func(i, j int) bool { return f.order[i].Server < f.order[j].Server })
+	f.order = insert(f.order, v)
 }
 
 // past remembers where moves took the newest few viewers off.
@@ -225,6 +240,7 @@
 func (f *Front) enter(s *session, v *server) {
 	s.at = v
 	v.held = append(v.held, s)
+	f.fleet.hosts = insert(f.fleet.hosts, v)
 	f.occupy(s, 1)
 }
 
@@ -233,7 +249,9 @@
 		return
 	}
 	f.occupy(s, -1)
-	s.at.held = drop(s.at.held, s)
+	if s.at.held = drop(s.at.held, s); len(s.at.held) == 0 {
+		f.fleet.hosts = remove(f.fleet.hosts, s.at)
+	}
 	if s.at.trial == s {
 		s.at.trial = nil
 	}
@@ -258,21 +276,31 @@
 	return s
 }
 
-// holds tells whether a server is listed ready and holds the title.
-func (f *Front) holds(v *server, s *session) bool {
-	if !v.listed || f.set.Cells <= 0 {
-		return false
+// holders gives the servers listed ready that hold the title, in the order of their ids.
+func (f *Front) holders(s *session) (list []*server) {
+	if s.Copies >= f.set.Cells {
+		for _, v := range f.fleet.order {
+			if v.listed && f.set.Cells > 0 {
+				list = append(list, v)
+			}
+		}
+		return list
 	}
-	d := (v.Cell - s.Home) % f.set.Cells
-	if d < 0 {
-		d += f.set.Cells
+	for i := 0; i < s.Copies; i++ {
+		cell := (s.Home%f.set.Cells + f.set.Cells + i) % f.set.Cells
+		for _, v := range f.fleet.byCell[cell] {
+			if v.listed {
+				list = append(list, v)
+			}
+		}
 	}
-	return d < s.Copies
+	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.Server, b.Server) })
+	return list
 }
 
 // count gives how many sessions of a class and title this front holds, set-ups included.
 func (f *Front) count(class int, title uint64) (n int) {
-	for _, v := range f.fleet.order {
+	for _, v := range f.fleet.hosts {
 		for _, o := range v.held {
 			if o.Class == class && o.Title == title {
 				n++
@@ -320,6 +348,12 @@
 	return s.weight * f.set.ChangeCost
 }
 
+// cell gives an entry's cell in the ring of cells that holders are counted in.
+func (f *Front) cell(e Entry) int {
+	n := max(f.set.Cells, 1)
+	return (e.Cell%n + n) % n
+}
+
 // book takes a list entry over and tells whether it is a newer process than the one known.
 func (f *Front) book(e Entry) (v *server, restarted bool) {
 	v = f.fleet.get(e.Server)
@@ -328,7 +362,11 @@
 		f.fleet.add(v)
 	}
 	restarted = e.Started > v.Started
+	if c := f.cell(v.Entry); c != f.cell(e) {
+		f.fleet.byCell[c] = remove(f.fleet.byCell[c], v)
+	}
 	v.Entry, v.listed = e, e.Health == Ready
+	f.fleet.byCell[f.cell(e)] = insert(f.fleet.byCell[f.cell(e)], v)
 	v.rack = f.racks[e.Cell%len(f.racks)]
 	v.link.cap = max(e.Size*f.set.WeightKB, 1)
 	return v, restarted
@@ -349,7 +387,7 @@
 // newFront makes empty records for the settings.
 func newFront(set Settings, seed uint64) *Front {
 	f := &Front{set: set, rng: rand.New(rand.NewSource(int64(seed))), byID: map[uint64]*session{},
-		fleet: fleet{byID: map[uint32]*server{}}, past: past{from: map[uint64]*server{}}}
+		fleet: fleet{byID: map[uint32]*server{}, byCell: map[int][]*server{}}, past: past{from: map[uint64]*server{}}}
 	for i := 0; i < max(set.Racks, 1); i++ {
 		f.racks = append(f.racks, &rack{meter: meter{cap: max(set.RackKB, 1), parts: []*server{}}})
 	}
