One weight for all failures in the tally, and no counting of successes

The breaker now opens on two errors in ten seconds whatever went well: harm, a server with a few errors rests a second.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,8 +17,6 @@
 	moveNotes = 2    // on so many notes lets sessions move (page)
 
 	tallyWindow, tallyWeight = 10 * Second, 0.1        // how long failures count; the use each counts for
-	failWeight, heavyWeight  = 1.0, 2.0                // a failure in the tally; one that cost a time-out
-	fullWeight               = 0.5                     // a refusal: it says more of the moment
 	holdSpan                 = 300 * Millisecond       // a brief hold: three looks for room
 	tick, askAgain           = Second / 10, 1 * Second // housekeeping; a failed list call is repeated
 	tryShare, lastTry        = 0.42, Second / 50       // of the aim an attempt, so two fit; none begun later
@@ -34,7 +32,7 @@
 	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if it blocks a request, else
 
 	backoffMin, backoffMax = 1 * Second, 8 * Second // breaker's pauses: outages last 5 to 30 s
-	errorsTrip             = 2                      // failures that open it, if not outnumbered
+	errorsTrip             = 2                      // failures that open it
 	hungShare, shareLeast  = 0.1, 0.5               // under it, it stands still; none tells more use than 2
 	paceMargin             = 0.5                    // part of the pushing-over pace all fronts may use
 	busyIsWarm             = 0.25                   // use by others that one just started lacks, at most
@@ -242,25 +240,16 @@
 	if a.Moved {
 		s.moved, s.from = true, f.past.from[a.Viewer]
 	}
-	if !a.Again && !a.Moved { // first tries: by their number probes are priced
-		f.probes = min(f.probes+probeEach, probesMost)
+	if !a.Again && !a.Moved {
+		f.earn()
 		f.typicalN = min(f.typicalN+1, typicalOver)
 		f.typical += (f.worth(s, f.top(s)) - f.typical) / f.typicalN
 	}
 	f.place(s)
 }
 
-// handed books a session that plays already.
-func (f *Front) handed(h Handed) {
-	v := f.fleet.get(h.Server)
-	if v == nil || !f.usable(&h.Ask) {
-		return
-	}
-	s := f.take(h.Ask)
-	f.probes = min(f.probes+probeEach, probesMost)
-	s.attempts, s.playing, s.started = 1, true, f.now
-	f.enter(s, v)
-}
+// earn gives the probes of a first try: by their number probes are priced.
+func (f *Front) earn() { f.probes = min(f.probes+probeEach, probesMost) }
 
 func (f *Front) started(e Playing) {
 	s := f.byID[e.ID]
@@ -286,7 +275,7 @@
 	f.leave(s)
 	if s.playing || e.Status == OK {
 		if e.Status == ResetConn {
-			f.failing(v, failWeight, true)
+			f.failing(v, true)
 		}
 		f.forget(s)
 		return
@@ -294,13 +283,12 @@
 	switch e.Status {
 	case Errored:
 		s.unsure = true
-		n := 1 + v.bad.sum(f.now, tallyWindow)
-		f.failing(v, failWeight, n >= errorsTrip && n >= v.good.sum(f.now, tallyWindow))
+		f.failing(v, 1+v.bad.sum(f.now, tallyWindow) >= errorsTrip)
 	case ResetConn, TimedOut, NoConnect:
 		s.unsure = s.unsure || e.Status != NoConnect
-		f.failing(v, heavyWeight, true)
+		f.failing(v, true)
 	case Full:
-		v.bad.add(f.now, fullWeight)
+		v.bad.add(f.now, 1)
 		if f.set.FullFrom > 0 { // it says of the unheard what a report of a full link would
 			f.mean += (1 - f.mean) * meanBlend
 		}
@@ -320,8 +308,8 @@
 
 // failing books a failure. With trip the breaker opens: a server that hangs, vanished, died or fails set-ups
 // fast would eat attempts while it reports low use. Harm: a server slow for a moment rests a second.
-func (f *Front) failing(v *server, weight float64, trip bool) {
-	v.bad.add(f.now, weight)
+func (f *Front) failing(v *server, trip bool) {
+	v.bad.add(f.now, 1)
 	if !trip || f.now < v.openUntil {
 		return
 	}
@@ -332,7 +320,6 @@
 
 // proved books a success: the breaker closes. A server that was seen failing may have restarted, cold.
 func (f *Front) proved(v *server) {
-	v.good.add(f.now, 1)
 	if v.failed {
 		v.failed = false
 		v.coldUntil = max(v.coldUntil, f.now+f.set.ColdSpan)
@@ -576,7 +563,7 @@
 	v.share, v.shortAt = share, f.now
 	v.bad.add(f.now, 1-share)
 	if share < hungShare {
-		f.failing(v, failWeight, true)
+		f.failing(v, true)
 	} else {
 		m.set(1/max(share, shareLeast), f.now-f.set.SeeLate)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -480,7 +480,7 @@
 func TestAllHoldersOutStillTakeASafeRequest(t *testing.T) {
 	w := newWorld(t, settings())
 	for _, v := range w.f.fleet.order {
-		w.f.failing(v, 1, true)
+		w.f.failing(v, true)
 	}
 	one[Send](t, w.do(Request{w.ask(1, 0)}))
 	none[Send](t, w.do(Request{w.ask(2, 1)}))
--- a/policy/state.go
+++ b/policy/state.go
@@ -94,7 +94,7 @@
 	rack   *rack
 	held   []*session // set up or playing here, oldest first
 
-	bad, good tally // failures by weight, and successes
+	bad tally // refusals, failures and missing parts of rates
 
 	openUntil Time // circuit breaker: no set-ups before this
 	backoff   Time
@@ -323,6 +323,18 @@
 	f.forget(s)
 }
 
+// handed books a session that plays already.
+func (f *Front) handed(h Handed) {
+	v := f.fleet.get(h.Server)
+	if v == nil || !f.usable(&h.Ask) {
+		return
+	}
+	s := f.take(h.Ask)
+	f.earn()
+	s.attempts, s.playing, s.started = 1, true, f.now
+	f.enter(s, v)
+}
+
 // setRung changes the rung in force.
 func (f *Front) setRung(s *session, rung int) {
 	f.occupy(s, -1)
