--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,6 @@
 	movesPerS, movesBurst = 2.0, 6                 // the front-wide pace of moves
 	raiseGap, raiseCalm   = 0.06, 4 * Second       // spare under the mark, and calm, for a raise
 	raiseFresh, restRung  = 8 * Second, 5 * Second // oldest report for it; rest between changes
-	probePays             = 2.0                    // a raise's gain pays for the probes it is worth, over this
 	changeTimes           = 3.0                    // a raise earns its price so often: it may be undone
 	remains               = 20 * Second            // a session lasts so long yet, without a hint
 	typicalOver           = 50.0                   // first tries that a typical worth is averaged over
@@ -715,7 +714,5 @@
 			return
 		}
 		f.setRung(best, to)
-		// What it gains pays for further looks, as long as looks find room.
-		f.probes = min(f.probes+most/(probePays*f.set.PriceProbe*f.typical), probesMost)
 	}
 }
