--- a/policy/policy.go
+++ b/policy/policy.go
@@ -378,8 +378,7 @@
 
 // candidates ranks the holders that may take a session now: by use, tally and distance.
 func (f *Front) candidates(s *session) []*server {
-	var list []*server
-	s.cold = nil
+	var list, cold []*server
 	holders := f.holders(s)
 	collect := func(evenOpen bool) {
 		for _, v := range holders {
@@ -388,7 +387,7 @@
 			}
 			if f.cold(v) {
 				if !v.failed && f.now >= v.coldUntil {
-					s.cold = append(s.cold, v)
+					cold = append(cold, v)
 				}
 				continue
 			}
@@ -403,6 +402,11 @@
 		}
 	}
 	collect(false)
+	if len(list) == 0 {
+		for _, i := range f.rng.Perm(len(cold))[:min(len(cold), lookAt)] {
+			f.inspect(cold[i], probeBlock) // it may tell that it is warm, and spare a refusal: never too dear
+		}
+	}
 	// If all look bad, the trouble may lie elsewhere: a safe request may go to one all the same.
 	if s.despite = len(list) == 0 && !f.class(s).Paid; s.despite {
 		collect(true)
@@ -451,9 +455,6 @@
 		for _, v := range s.list[:min(len(s.list), lookAt)] {
 			f.probe(v, probeBlock)
 		}
-		for _, i := range f.rng.Perm(len(s.cold))[:min(len(s.cold), lookAt)] {
-			f.inspect(s.cold[i], probeBlock) // it may tell that it is warm, and spare a refusal: never too dear
-		}
 		f.do(Timer{tokenHeld, max(s.holding-f.now, 0)})
 	}
 	s.list = nil
--- a/policy/state.go
+++ b/policy/state.go
@@ -131,8 +131,7 @@
 	changed  Time // last change of rung while playing
 	holding  Time // held for room since; 0: not
 	list     []*server
-	cold     []*server // holders that may be cold for all that is known
-	despite  bool      // the list is of servers whose breaker is open, as no other holder was left
+	despite  bool // the list is of servers whose breaker is open, as no other holder was left
 	tried    []*server
 	moved    bool
 	from     *server // the server that a move took it off
