--- a/policy/policy.go
+++ b/policy/policy.go
@@ -289,12 +289,10 @@
 		f.failing(v, true)
 	case Full:
 		v.bad.add(f.now, 1)
-		if f.set.FullFrom > 0 { // of its link, whatever its report said; and it tells of the unheard, too
-			v.link.set(max(f.set.FullFrom, 1), f.now)
+		if f.set.FullFrom > 0 { // it says of the unheard what a report of a full link would
 			f.mean += (1 - f.mean) * meanBlend
-		} else { // of its places: these say nothing of the link
-			v.openUntil = max(v.openUntil, f.now+backoffMin)
 		}
+		v.link.set(max(f.set.FullFrom, 1), f.now) // whatever its report said
 	case Moot:
 	default:
 		s.unsure = true
