Uplinks not heard of are taken for the mean of uplinks, not of links

Cause: uplinks carry two thirds of what their links could and run fuller; a front of hundreds hears of few racks and took the others for as empty as the links.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,7 +65,7 @@
 // New makes a front.
 func New(set Settings, seed uint64) *Front {
 	f := newFront(set, seed)
-	f.born, f.mean, f.probes = -1, meanStart, probesStart
+	f.born, f.mean, f.meanUp, f.probes = -1, meanStart, meanStart, probesStart
 	return f
 }
 
@@ -132,17 +132,16 @@
 		use = blend*use + (1-blend)*max(now, 0)
 	}
 	m.set(use, at)
-	if m.parts == nil {
-		f.mean += (min(max(use-m.useOwn/m.cap, 0), 1) - f.mean) * meanBlend
-	}
+	mean := f.meanOf(m)
+	*mean += (min(max(use-m.useOwn/m.cap, 0), 1) - *mean) * meanBlend
 }
 
 // others is the use of a meter that is not this front's own: the last report less the own part then.
 // As it ages it gives way to the fleet's average, which also stands for servers not yet heard from.
 func (f *Front) others(m *meter) float64 {
-	avg := f.mean
+	avg := *f.meanOf(m)
 	if m.own > 0 {
-		avg = (f.mean + m.own/m.cap*float64(f.set.Fleet-1)) / 2
+		avg = (avg + m.own/m.cap*float64(f.set.Fleet-1)) / 2
 	}
 	if m.parts != nil && !slices.Contains(f.set.Fields, FieldUplink) { // never reported
 		avg = 0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1147,3 +1147,21 @@
 		}
 	}
 }
+
+// Uplinks are filled otherwise than links: one not heard of was taken for as empty as the links.
+func TestAnUplinkNotHeardOfIsTakenForTheMeanOfUplinks(t *testing.T) {
+	set := settings()
+	set.Racks, set.Cells = 3, 6
+	w := newWorld(t, set)
+	last := entry(6) // the only one in its rack
+	last.Cell = 5
+	w.do(List{Kind: ListDelta, Entries: []Entry{last}})
+	for i := 0; i < 30; i++ {
+		w.use(1, 0.2, 0.9)
+		w.use(2, 0.2, 0.9)
+	}
+	v := w.f.fleet.get(6)
+	if link, up := w.f.load(&v.link), w.f.load(&v.rack.meter); link > 0.3 || up < 0.8 {
+		t.Fatalf("link %.2f, uplink %.2f", link, up)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -216,7 +216,7 @@
 	extra   tally
 	ticks   int
 
-	mean              float64 // average use by other fronts' sessions, from reports
+	mean, meanUp      float64 // average use by other fronts' sessions, from reports: of links, of uplinks
 	typical, typicalN float64 // mean worth of a session, and over how many
 }
 
@@ -276,6 +276,14 @@
 	return s
 }
 
+// meanOf gives the average that stands for a meter not heard of: links and uplinks are filled differently.
+func (f *Front) meanOf(m *meter) *float64 {
+	if m.parts != nil {
+		return &f.meanUp
+	}
+	return &f.mean
+}
+
 // holders gives the servers listed ready that hold the title, in the order of their ids.
 func (f *Front) holders(s *session) (list []*server) {
 	if s.Copies >= f.set.Cells {
