--- a/policy/policy.go
+++ b/policy/policy.go
@@ -608,7 +608,6 @@
 
 // moveOff moves a session, paced, to the best holder with room on another rack, if there is one.
 func (f *Front) moveOff(v *server) {
-	looks := 0
 	for _, s := range v.held {
 		if f.moves.fill(f.now, movesPerS, movesBurst) < 1 {
 			return
@@ -626,9 +625,6 @@
 			// A server that stands still says nothing against its rack, and any other is better than it. From
 			// one that is only short, a guess at where there's room is no reason to move.
 			if (o.rack == v.rack || f.unheard(o)) && v.share >= hungShare || f.open(o, s) {
-				if o.rack != v.rack && looks < lookAt && f.probe(o, probeStale) {
-					looks++ // the next note may find room there
-				}
 				continue
 			}
 			if link, uplink := f.room(o, mark); f.highest(s, o, link, uplink, 0, 0) >= 0 {
