A short note that lowers rungs counts for the mean like a report

Notes told it to each front, but only reports counted. Covers bursts, sagging links and neighbours alike; harm: one bad server weighs on the mean, once a lowering.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -132,6 +132,11 @@
 		use = blend*use + (1-blend)*max(now, 0)
 	}
 	m.set(use, at)
+	f.learn(m, use)
+}
+
+// learn counts a use for the mean that stands for all meters not heard of.
+func (f *Front) learn(m *meter, use float64) {
 	mean := f.meanOf(m)
 	*mean += (min(max(use-m.useOwn/m.cap, 0), 1) - *mean) * meanBlend
 }
@@ -570,6 +575,7 @@
 		v.shorts++
 	}
 	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
+		f.learn(m, 1/share) // in a crowd no report is as new
 		f.shed(v, share)
 	}
 	if v.shorts >= moveNotes {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1165,3 +1165,18 @@
 		t.Fatalf("link %.2f, uplink %.2f", link, up)
 	}
 }
+
+// In a crowd short notes are the newest news of servers that no report has told of.
+func TestAShortNoteThatLowersRungsCountsForTheMean(t *testing.T) {
+	w := newWorld(t, settings())
+	w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+	w.do(Note{ID: 1, Server: 1, Kind: NoteRung, Value: 3})
+	w.now += 10 * Second
+	before := w.f.mean
+	w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.8})
+	once := w.f.mean
+	w.do(Note{ID: 1, Server: 1, Kind: NoteShare, Value: 0.8}) // still the old news
+	if once <= before || w.f.mean != once {
+		t.Fatalf("mean %.3f, %.3f, %.3f", before, once, w.f.mean)
+	}
+}
