Requests whose time is up are answered at once and not begun; a test of lost answers

Cause, found on reading: a front that stood still could find a request after its deadline and sent it with no time left. The deadline was looked at before further attempts only. The test of a late pile now asserts it and fails without the change. A test of lost answers is added: paid fails once and goes nowhere, safe goes on to the next holder, a probe's answer is no proof.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -423,9 +423,10 @@
 }
 
 // place sends a session to the best-ranked holder with room, or the next on its list. A paid one that may
-// have run is never sent again nor refused; no second attempt goes out before the first one's outcome.
+// have run is never sent again nor refused; no second attempt goes out before the first one's outcome. What
+// came too late, as to a front that stood still, is answered and not begun.
 func (f *Front) place(s *session) {
-	if s.attempts > 0 && (f.now >= s.Deadline-lastTry || s.attempts >= f.set.MaxAttempts ||
+	if f.now >= s.Deadline-lastTry || s.attempts > 0 && (s.attempts >= f.set.MaxAttempts ||
 		s.unsure && f.class(s).Paid || !f.mayRetry()) {
 		f.giveUp(s)
 		return
@@ -442,7 +443,7 @@
 	}
 	for _, v := range s.list {
 		if asked {
-			break // the choice rests on old news: hold a tick and look at all holders
+			break // the choice rests on old news: hold a tick and look at the best
 		}
 		if !free || !v.listed || s.hasTried(v) || f.cold(v) || f.open(v, s) && !s.despite {
 			continue
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1135,7 +1135,11 @@
 		a := w.ask(id, 0)
 		a.Deadline = w.now - 2*Second + Time(id)*50*Millisecond
 		a.Home, a.Copies, a.Title = 4, 6, id // server 7 among the holders
-		count(w.do(Request{a}))
+		acts := w.do(Request{a})
+		if a.Deadline <= w.now {
+			none[Send](t, acts)
+		}
+		count(acts)
 	}
 	count(w.run(4 * Second))
 	if sent[1] != 1 {
@@ -1180,3 +1184,29 @@
 		t.Fatalf("mean %.3f, %.3f, %.3f", before, once, w.f.mean)
 	}
 }
+
+// Answers get lost while the work runs: a paid set-up is never sent again nor refused, its server is left to
+// others for a while, and a safe one goes on to the next holder.
+func TestALostAnswerFailsThePaidAndMovesOnTheSafe(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.2)
+	paid := one[Send](t, w.do(Request{w.ask(1, 1)}))
+	acts := w.end(1, 0, paid.Server, TimedOut)
+	one[Fail](t, acts)
+	none[Refuse](t, acts)
+	none[Send](t, append(acts, w.run(2*tick)...))
+	safe := one[Send](t, w.do(Request{w.ask(2, 0)}))
+	if safe.Server == paid.Server {
+		t.Fatal("sent where an answer was just lost")
+	}
+	acts = w.end(2, 0, safe.Server, TimedOut)
+	if next := one[Send](t, acts); next.Server == safe.Server || next.Server == paid.Server {
+		t.Fatalf("sent to %d again", next.Server)
+	}
+	w.do(Probed{Server: safe.Server, Report: []float64{0.1, 0.1}}) // probes are answered all the while
+	for _, s := range of[Send](w.do(Request{w.ask(3, 1)})) {
+		if s.Server == safe.Server || s.Server == paid.Server {
+			t.Fatalf("a paid set-up went to %d on a probe's word", s.Server)
+		}
+	}
+}
