--- a/policy/policy.go
+++ b/policy/policy.go
@@ -565,10 +565,6 @@
 	if like && f.load(&v.rack.meter) > f.load(m) {
 		m = &v.rack.meter
 	}
-	falls := 0.0
-	if f.now-v.shortAt < rackTogether { // notes come late: what falls has fallen on
-		falls = max(v.share-share, 0)
-	}
 	v.share, v.shortAt = share, f.now
 	v.bad.add(f.now, 1-share)
 	if share < hungShare {
@@ -581,7 +577,7 @@
 	}
 	if share < shortNote && share >= hungShare && f.now-v.shedAt > f.set.SeeLate+shedPause {
 		f.learn(m, 1/share) // in a crowd no report is as new
-		f.shed(v, max(share-falls, shareLeast))
+		f.shed(v, share)
 	}
 	if v.shorts >= moveNotes {
 		f.moveOff(v)
