Delete the probes of held requests: the look before the choice covers them

Two defences overlapped: a request without room probed its best holders again although a look had just been taken. A constant that was 1 went too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,12 +24,11 @@
 	reportLag, keepChanges  = 4 * Second / 10, 5 * Second // age of a report that comes; past any lateness
 	staleHalf, meanBlend    = 8 * Second, 0.1             // a report's half-life; its weight in the average
 	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
-	alikePart               = 1.0                         // of own late additions, for each other front
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
 	probeEach               = 1.2                         // probes a request earns: half a point at most
 	probesStart, probesMost = 4.0, 20.0                   // at the start: a look; saved
-	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if it blocks a request, else
+	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if all may be cold, else
 
 	backoffMin, backoffMax = 1 * Second, 8 * Second // breaker's pauses: outages last 5 to 30 s
 	errorsTrip             = 2                      // failures that open it
@@ -161,7 +160,7 @@
 	}
 	known := max(m.use-m.useOwn/m.cap, 0)
 	// What this front has added since, the others that saw the same room are taken to have added too.
-	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1) * alikePart
+	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1)
 	w := f.guess(m)
 	return (1-w)*max(known, min(known+unseen, most)) + w*avg
 }
@@ -457,9 +456,6 @@
 	if s.holding == 0 {
 		s.holding = min(f.now+holdSpan, s.Deadline-lastTry)
 		f.waiting = append(f.waiting, s)
-		for _, v := range s.list[:min(len(s.list), lookAt)] {
-			f.probe(v, probeBlock)
-		}
 		f.do(Timer{tokenHeld, max(s.holding-f.now, 0)})
 	}
 	s.list = nil
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -310,7 +310,7 @@
 
 func TestHeldRequestProbesWhatKeepsItWaiting(t *testing.T) {
 	set := settings()
-	set.MayProbe = true
+	set.MayProbe, set.Inline = true, false
 	w := newWorld(t, set)
 	w.useAll(0.99)
 	w.now += 2 * Second
