--- a/policy/policy.go
+++ b/policy/policy.go
@@ -345,8 +345,7 @@
 // this front is itself new and has no report that the server carries others' sessions, as one just
 // started would not. Harm: a new front is slow to fill idle servers.
 func (f *Front) paced(v *server) bool {
-	carries := v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2) ||
-		slices.ContainsFunc(v.held, func(s *session) bool { return len(s.tried) == 0 }) // handed over: long there
+	carries := v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2)
 	unknown := f.now-f.born < f.set.ColdSpan && !carries
 	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
