--- /dev/null
+++ b/internal/exchange/arrive.go
@@ -0,0 +1,313 @@
+package exchange
+
+import (
+	"slices"
+	"strconv"
+
+	"tealledge/decide/fate"
+	"tealledge/internal/front"
+	"tealledge/internal/rtsp"
+	"tealledge/policy"
+)
+
+// Redirected tells that a server said itself that it leaves (REDIRECT, RFC 7826 section 13.10).
+type Redirected struct{ Server uint32 }
+
+// Connected tells that a dial came through. What waited for it is written.
+func (d *Desk) Connected(now Time, server uint32, conn uint64) {
+	d.now = now
+	l := d.lines[server]
+	if l == nil || l.conn != conn || l.state != dialing {
+		d.acts = append(d.acts, Act{Server: server, Conn: conn, Close: true})
+		return
+	}
+	l.state, l.readAt, l.sent = up, now, 0
+	for _, a := range l.live { // streams of a connection that was lost: are they still there?
+		a.sentOn = conn
+		m := rtsp.Message{Method: rtsp.GetParameter, URI: d.uri(l, a.setup.Title),
+			Headers: []rtsp.Header{{Name: "Session", Value: a.accepted}}}
+		d.push(l, d.request(l, &m, call{kind: callVerify, a: a}, nil))
+	}
+	waiting := l.waiting
+	l.waiting = nil
+	for _, a := range waiting {
+		d.write(l, a)
+	}
+	if l.probing {
+		l.probing = false
+		d.writeProbe(l)
+	}
+}
+
+// DialFailed tells that a connection could not be had: refused, unreachable or not in time.
+func (d *Desk) DialFailed(now Time, server uint32, conn uint64) {
+	d.now = now
+	l := d.lines[server]
+	if l == nil || l.conn != conn || l.state != dialing {
+		return
+	}
+	l.state = down
+	d.withdraw(l, fate.DialRefused)
+	for _, a := range slices.Clone(l.live) { // its streams can't be asked for: they are lost
+		d.end(a, policy.ResetConn, nil)
+	}
+	if l.probing {
+		l.probing = false
+		d.news = append(d.news, front.Probed{Server: server, Status: policy.NoConnect, Took: now - l.probeAt})
+	}
+}
+
+// withdraw ends the set-ups of a line that were not sent.
+func (d *Desk) withdraw(l *line, cause fate.Cause) {
+	waiting := l.waiting
+	l.waiting = nil
+	for _, a := range waiting {
+		d.end(a, fate.Of(fate.Unsent, cause, 0), nil)
+	}
+}
+
+// Lost tells that a connection ended. begun is an upper bound of the bytes handed to the kernel: what lies past it
+// never left this machine.
+func (d *Desk) Lost(now Time, server uint32, conn uint64, begun uint64) {
+	d.now = now
+	if l := d.lines[server]; l != nil && l.conn == conn && l.state == up {
+		d.drop(l, begun, false)
+	}
+}
+
+// drop ends a line's connection. Streams that play are looked for on a new one, unless the process is gone.
+func (d *Desk) drop(l *line, begun uint64, gone bool) {
+	if l.state == down {
+		return
+	}
+	d.acts = append(d.acts, Act{Server: l.server, Conn: l.conn, Close: true})
+	wasUp := l.state == up
+	l.state = down
+	calls, seqs := l.calls, l.seqs
+	l.calls, l.seqs = map[uint32]*call{}, nil
+	if wasUp {
+		for _, seq := range seqs {
+			c := calls[seq]
+			switch {
+			case c.kind == callProbe && !c.done:
+				d.news = append(d.news, front.Probed{Server: l.server, Status: policy.ResetConn, Took: d.now - c.at})
+			case c.kind == callSetup || c.kind == callPlay:
+				d.end(c.a, fate.Of(progress(c.a, begun), fate.Broke, 0), nil)
+			}
+		}
+	}
+	for _, a := range slices.Clone(l.live) {
+		a.adrift = true
+		if gone {
+			d.end(a, policy.ResetConn, nil)
+		}
+	}
+	if gone {
+		d.withdraw(l, fate.Broke)
+	}
+	if len(l.live) > 0 || len(l.waiting) > 0 {
+		d.dial(l)
+	}
+}
+
+func progress(a *attempt, begun uint64) fate.Progress {
+	switch {
+	case a.accepted != "":
+		return fate.Accepted
+	case begun < a.setupEnd:
+		return fate.Partly
+	}
+	return fate.Written
+}
+
+// Received takes a message of a server.
+func (d *Desk) Received(now Time, server uint32, conn uint64, m *rtsp.Message) {
+	d.now = now
+	l := d.lines[server]
+	if l == nil || l.conn != conn || l.state != up {
+		return
+	}
+	l.readAt = now
+	if m.Method != "" {
+		d.asked(l, m)
+		return
+	}
+	c := l.calls[m.CSeq]
+	if c == nil || m.Status < 200 { // not ours, or interim (section 17.1)
+		return
+	}
+	delete(l.calls, m.CSeq)
+	l.seqs = slices.DeleteFunc(l.seqs, func(s uint32) bool { return s == m.CSeq })
+	l.callAt = now
+	if len(l.seqs) > 0 {
+		l.callAt = l.calls[l.seqs[0]].at
+	}
+	d.answered(l, c, m)
+}
+
+func (d *Desk) answered(l *line, c *call, m *rtsp.Message) {
+	a := c.a
+	switch c.kind {
+	case callSetup:
+		if m.Status != rtsp.StatusOK {
+			d.end(a, fate.Of(fate.Written, fate.Answered, m.Status), d.report(m))
+			return
+		}
+		a.accepted = m.Session()
+	case callPlay:
+		switch {
+		case a.over:
+		case m.Status == rtsp.StatusOK && a.accepted != "":
+			a.playing = true
+			l.live = append(l.live, a)
+			d.news = append(d.news, front.Began{Session: a.setup.Session, Attempt: a.setup.Attempt,
+				Took: d.now - a.at, Report: d.report(m)})
+		default: // set up but not playing: it is taken down
+			status := fate.Of(fate.Accepted, fate.Answered, m.Status)
+			d.teardown(l, a)
+			a.over = false
+			d.end(a, status, d.report(m))
+		}
+	case callTeardown:
+		// A server that does not know the pipelined id may still know the session that it named meanwhile.
+		if m.Status != rtsp.StatusOK && m.Status != rtsp.StatusSessionNotFound && a.accepted != "" {
+			d.teardown(l, &attempt{setup: a.setup, accepted: a.accepted, sentOn: l.conn})
+		}
+	case callRung, callVerify:
+		switch {
+		case a.over:
+		case m.Status == rtsp.StatusSessionNotFound:
+			d.end(a, policy.ResetConn, nil)
+		case c.kind == callVerify && m.Status == rtsp.StatusOK:
+			a.adrift = false
+			d.writeRung(l, a)
+		}
+	case callProbe:
+		if !c.done {
+			status := policy.OK
+			if m.Status != rtsp.StatusOK {
+				status = policy.Errored
+			}
+			d.news = append(d.news, front.Probed{Server: l.server, Status: status, Took: d.now - c.at, Report: d.report(m)})
+		}
+	}
+}
+
+// names of load values in text/parameters.
+var names = map[policy.Field]string{policy.FieldLink: "link", policy.FieldUtil: "link", policy.FieldUplink: "uplink"}
+
+// report reads the load values of a body, in the order of the settings' fields; nil unless all are there.
+func (d *Desk) report(m *rtsp.Message) []float64 {
+	if len(m.Body) == 0 || len(d.cfg.Fields) == 0 {
+		return nil
+	}
+	params := rtsp.Params(m.Body)
+	out := make([]float64, 0, len(d.cfg.Fields))
+	for _, f := range d.cfg.Fields {
+		v, ok := rtsp.Number(params, names[f])
+		if !ok {
+			return nil
+		}
+		if f == policy.FieldUtil {
+			v = min(v, 1)
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// asked answers a request of the server.
+func (d *Desk) asked(l *line, m *rtsp.Message) {
+	reply := rtsp.Message{Status: rtsp.StatusOK, CSeq: m.CSeq}
+	switch m.Method {
+	case rtsp.Options:
+		reply.Set("Public", "OPTIONS, SET_PARAMETER, PLAY_NOTIFY, REDIRECT")
+	case rtsp.SetParameter:
+		a := l.byID(m.Session())
+		if a == nil {
+			reply.Status = rtsp.StatusSessionNotFound
+			break
+		}
+		d.notes(a, rtsp.Params(m.Body))
+	case rtsp.PlayNotify:
+		a := l.byID(m.Session())
+		if a == nil {
+			reply.Status = rtsp.StatusSessionNotFound
+			break
+		}
+		if m.Get("Notify-Reason") == "end-of-stream" { // section 13.5.1
+			d.teardown(l, a)
+			a.over = false
+			d.end(a, policy.OK, nil)
+		}
+	case rtsp.Redirect:
+		d.news = append(d.news, Redirected{l.server})
+	default:
+		reply.Status = rtsp.StatusNotImplemented
+	}
+	d.push(l, reply.Append(nil))
+}
+
+func (l *line) byID(session string) *attempt {
+	for _, a := range l.live {
+		if a.accepted == session && session != "" {
+			return a
+		}
+	}
+	return nil
+}
+
+func (d *Desk) notes(a *attempt, params map[string]string) {
+	for _, n := range []struct {
+		name string
+		kind policy.NoteKind
+	}{{"share", policy.NoteShare}, {"link", policy.NoteLink}, {"uplink", policy.NoteUplink}} {
+		if v, ok := rtsp.Number(params, n.name); ok {
+			d.news = append(d.news, front.Note{Session: a.setup.Session, Attempt: a.setup.Attempt, Kind: n.kind, Value: v})
+		}
+	}
+}
+
+// Tick lets time pass: probes run out, silent connections are closed, idle ones are checked. It is to be called
+// several times a second.
+func (d *Desk) Tick(now Time) {
+	d.now = now
+	for _, id := range d.order {
+		l := d.lines[id]
+		if l.state == dialing && l.probing && now-l.probeAt >= d.cfg.ProbeWait {
+			l.probing = false
+			d.news = append(d.news, front.Probed{Server: id, Status: policy.NoConnect, Took: now - l.probeAt})
+		}
+		if l.state != up {
+			continue
+		}
+		for _, seq := range l.seqs {
+			if c := l.calls[seq]; c.kind == callProbe && !c.done && now-c.at >= d.cfg.ProbeWait {
+				c.done = true
+				d.news = append(d.news, front.Probed{Server: id, Status: policy.TimedOut, Took: now - c.at})
+			}
+		}
+		switch {
+		// Danger: a peer that died without a word would keep its connection, and each set-up on it would wait out
+		// its time. Harm: streams of a server that only stalls are looked for on a new connection.
+		case len(l.calls) > 0 && now-max(l.callAt, l.readAt) >= d.cfg.Stall:
+			d.drop(l, l.sent, false)
+		case len(l.calls) == 0 && now-l.readAt >= d.cfg.KeepAlive:
+			m := rtsp.Message{Method: rtsp.Options, URI: "rtsp://" + l.addr + "/"}
+			d.push(l, d.request(l, &m, call{kind: callAlive}, nil))
+		}
+	}
+}
+
+// Counts tells how many attempts and streams the desk holds, and how many calls wait for an answer.
+func (d *Desk) Counts() (held, calls int) {
+	for _, l := range d.lines {
+		calls += len(l.calls)
+	}
+	return len(d.played), calls
+}
+
+// String names an attempt as its header does.
+func (a *attempt) String() string {
+	return strconv.FormatUint(a.setup.Session, 10) + "/" + strconv.Itoa(a.setup.Attempt)
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,365 @@
+// Package exchange speaks RTSP 2.0 (RFC 7826) with the media servers for one front: one persistent, pipelined
+// connection a server. It is a pure state machine: the core's effects and what the connections bring go in, bytes
+// to write and events for the core come out. The shell that owns the sockets is internal/media.
+//
+// An attempt is SETUP and PLAY written together, bound by a Pipelined-Requests header (section 18.33), so that it
+// costs one round trip. An attempt given up on is followed by a TEARDOWN bound by the same header: a server that
+// runs the set-up after all tears it down at once, whether or not its reply is ever read.
+package exchange
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"tealledge/decide/fate"
+	"tealledge/internal/front"
+	"tealledge/internal/rtsp"
+	"tealledge/policy"
+)
+
+// Time is a clock reading or span in nanoseconds.
+type Time = policy.Time
+
+// Headers of our own. They name a session and attempt, so that what crossed the sockets can be matched later.
+const (
+	HeaderAttempt = "Tealledge-Attempt" // FRONT/SESSION/ATTEMPT
+	HeaderClass   = "Tealledge-Class"   // the class's number
+	HeaderRung    = "Tealledge-Rung"
+	HeaderViewer  = "Tealledge-Viewer"
+)
+
+// Config is what a desk is started with.
+type Config struct {
+	Front     string // this front's name, in its attempts' ids
+	Fields    []policy.Field
+	ProbeWait Time // a probe unanswered for so long has failed
+	Stall     Time // a connection with calls waiting and nothing read for so long is closed
+	KeepAlive Time // an idle connection is checked with OPTIONS so often
+	TitleName func(uint64) string
+	MostOut   int // bytes that may wait to be written on one connection; past it the connection is closed
+}
+
+// Act is what the shell is to do with a connection. Exactly one of Dial, Close and Bytes is set.
+type Act struct {
+	Server uint32
+	Conn   uint64
+	Dial   string // address to connect to
+	Close  bool
+	Bytes  []byte
+}
+
+// Desk holds the dialogues with all servers.
+type Desk struct {
+	cfg    Config
+	now    Time
+	lines  map[uint32]*line
+	order  []uint32 // of lines, sorted
+	conns  uint64
+	pipes  uint64
+	played map[uint64]*attempt // by session, those out or playing
+	acts   []Act
+	news   []front.Event
+}
+
+// state of a line's connection.
+type state uint8
+
+const (
+	down state = iota
+	dialing
+	up
+)
+
+// line is the dialogue with one server.
+type line struct {
+	server  uint32
+	addr    string
+	started Time
+	state   state
+	conn    uint64
+	seq     uint32
+	sent    uint64           // bytes handed to the connection so far
+	calls   map[uint32]*call // unanswered, by CSeq
+	waiting []*attempt       // not sent: the connection does not stand yet
+	probing bool             // a probe waits with them
+	probeAt Time
+	live    []*attempt // playing here, oldest first
+	readAt  Time       // when something was last read, or the connection came up
+	callAt  Time       // when the oldest of the unanswered calls was written
+	seqs    []uint32   // unanswered CSeqs in the order written
+}
+
+type callKind uint8
+
+const (
+	callSetup callKind = iota
+	callPlay
+	callTeardown
+	callRung
+	callProbe
+	callVerify
+	callAlive
+)
+
+type call struct {
+	kind callKind
+	at   Time
+	a    *attempt
+	done bool // a probe whose time was up
+}
+
+// attempt is one set-up and the stream that it starts.
+type attempt struct {
+	setup    front.Setup
+	at       Time // when the core asked for it
+	pipe     uint64
+	setupEnd uint64 // offset on the connection of the end of SETUP
+	sentOn   uint64 // connection that it was written to; 0: none
+	accepted string // RTSP session id from the server
+	report   []float64
+	over     bool // its Ended was given, or it is being torn down
+	playing  bool
+	adrift   bool // it plays, but the connection that it was set up on is lost
+}
+
+// New makes a desk that knows no servers.
+func New(cfg Config) *Desk {
+	return &Desk{cfg: cfg, lines: map[uint32]*line{}, played: map[uint64]*attempt{}}
+}
+
+// Take gives what has come up since the last call: what the shell is to do, and events for the core. Both slices
+// are good until the next call into the desk.
+func (d *Desk) Take() ([]Act, []front.Event) {
+	acts, news := d.acts, d.news
+	d.acts, d.news = nil, nil
+	return acts, news
+}
+
+// Server is an entry of the server list with its address.
+type Server struct {
+	ID      uint32
+	Addr    string
+	Started Time
+}
+
+// Listed tells the desk the servers and their addresses. A server whose process is newer or whose address changed
+// gets a new connection: replies of the old one are not the new one's.
+func (d *Desk) Listed(now Time, servers []Server) {
+	d.now = now
+	seen := map[uint32]bool{}
+	for _, s := range servers {
+		seen[s.ID] = true
+		l := d.lines[s.ID]
+		if l == nil {
+			l = &line{server: s.ID, addr: s.Addr, started: s.Started, calls: map[uint32]*call{}}
+			d.lines[s.ID] = l
+			i, _ := slices.BinarySearch(d.order, s.ID)
+			d.order = slices.Insert(d.order, i, s.ID)
+			continue
+		}
+		restarted := s.Started > l.started && l.started > 0
+		if l.addr != s.Addr || restarted {
+			d.drop(l, l.sent, restarted)
+		}
+		l.addr, l.started = s.Addr, s.Started
+	}
+	for _, id := range slices.Clone(d.order) {
+		if l := d.lines[id]; !seen[id] && l.state == down && len(l.live) == 0 && len(l.waiting) == 0 {
+			delete(d.lines, id)
+			d.order = slices.DeleteFunc(d.order, func(o uint32) bool { return o == id })
+		}
+	}
+}
+
+// Address gives a server's address, "" if it is not known.
+func (d *Desk) Address(server uint32) string {
+	if l := d.lines[server]; l != nil {
+		return l.addr
+	}
+	return ""
+}
+
+// Do carries out an effect of the core; effects that are not about servers are ignored.
+func (d *Desk) Do(now Time, effect front.Effect) {
+	d.now = now
+	switch e := effect.(type) {
+	case front.Setup:
+		d.setup(e)
+	case front.Abandon:
+		d.abandon(e)
+	case front.Withdraw:
+		if l := d.lines[e.Server]; l != nil {
+			d.withdraw(l, fate.Withdrawn)
+		}
+	case front.Stop:
+		if a := d.played[e.Session]; a != nil && a.setup.Attempt == e.Attempt {
+			d.teardown(d.lines[a.setup.Server], a)
+		}
+	case front.SetRung:
+		d.rung(e)
+	case front.Probe:
+		d.probe(e.Server)
+	}
+}
+
+func (d *Desk) setup(e front.Setup) {
+	a := &attempt{setup: e, at: d.now}
+	d.played[e.Session] = a
+	l := d.lines[e.Server]
+	switch {
+	case l == nil || l.addr == "":
+		d.end(a, policy.NoConnect, nil)
+	case l.state == up:
+		d.write(l, a)
+	default:
+		l.waiting = append(l.waiting, a)
+		d.dial(l)
+	}
+}
+
+func (d *Desk) dial(l *line) {
+	if l.state != down {
+		return
+	}
+	d.conns++
+	l.state, l.conn = dialing, d.conns
+	d.acts = append(d.acts, Act{Server: l.server, Conn: l.conn, Dial: l.addr})
+}
+
+func (d *Desk) uri(l *line, title uint64) string {
+	return "rtsp://" + l.addr + "/" + d.cfg.TitleName(title)
+}
+
+// write puts SETUP and PLAY on the connection.
+func (d *Desk) write(l *line, a *attempt) {
+	d.pipes++
+	a.pipe, a.sentOn = d.pipes, l.conn
+	pipe, uri := strconv.FormatUint(a.pipe, 10), d.uri(l, a.setup.Title)
+	m := rtsp.Message{Method: rtsp.Setup, URI: uri, Headers: []rtsp.Header{
+		{Name: "Pipelined-Requests", Value: pipe}, {Name: "Transport", Value: "RTP/AVP/TCP;unicast"},
+		{Name: HeaderAttempt, Value: fmt.Sprintf("%s/%d/%d", d.cfg.Front, a.setup.Session, a.setup.Attempt)},
+		{Name: HeaderClass, Value: strconv.Itoa(a.setup.Class)},
+		{Name: HeaderRung, Value: strconv.Itoa(a.setup.Rung)},
+		{Name: HeaderViewer, Value: strconv.FormatUint(a.setup.Viewer, 10)}}}
+	b := d.request(l, &m, call{kind: callSetup, a: a}, nil)
+	a.setupEnd = l.sent + uint64(len(b))
+	play := rtsp.Message{Method: rtsp.Play, URI: uri, Headers: []rtsp.Header{{Name: "Pipelined-Requests", Value: pipe}}}
+	d.push(l, d.request(l, &play, call{kind: callPlay, a: a}, b))
+}
+
+// request numbers a request, books it as unanswered and appends it to b.
+func (d *Desk) request(l *line, m *rtsp.Message, c call, b []byte) []byte {
+	l.seq++
+	m.CSeq = l.seq
+	c.at = d.now
+	if len(l.calls) == 0 {
+		l.callAt = d.now
+	}
+	l.calls[l.seq] = &c
+	l.seqs = append(l.seqs, l.seq)
+	return m.Append(b)
+}
+
+func (d *Desk) push(l *line, b []byte) {
+	l.sent += uint64(len(b))
+	d.acts = append(d.acts, Act{Server: l.server, Conn: l.conn, Bytes: b})
+}
+
+// end gives an attempt's Ended, once, and forgets it.
+func (d *Desk) end(a *attempt, status policy.Status, report []float64) {
+	if a.over {
+		return
+	}
+	a.over = true
+	d.forget(a)
+	d.news = append(d.news, front.Ended{Session: a.setup.Session, Attempt: a.setup.Attempt, Status: status,
+		Took: d.now - a.at, Report: report})
+}
+
+func (d *Desk) forget(a *attempt) {
+	if d.played[a.setup.Session] == a {
+		delete(d.played, a.setup.Session)
+	}
+	if l := d.lines[a.setup.Server]; l != nil {
+		l.live = slices.DeleteFunc(l.live, func(o *attempt) bool { return o == a })
+	}
+}
+
+// abandon gives up on an attempt that is out.
+func (d *Desk) abandon(e front.Abandon) {
+	a := d.played[e.Session]
+	if a == nil || a.setup.Attempt != e.Attempt || a.over {
+		return
+	}
+	l := d.lines[a.setup.Server]
+	if a.sentOn == 0 {
+		l.waiting = slices.DeleteFunc(l.waiting, func(o *attempt) bool { return o == a })
+		d.end(a, fate.Of(fate.Unsent, e.Cause, 0), nil)
+		return
+	}
+	at := fate.Written
+	if a.accepted != "" {
+		at = fate.Accepted
+	}
+	d.teardown(l, a)
+	a.over = false
+	d.end(a, fate.Of(at, e.Cause, 0), nil)
+}
+
+// teardown tells the server to end a stream, or a set-up that it has not answered yet, on the connection that it
+// was sent on: a TEARDOWN on another one could overtake it.
+func (d *Desk) teardown(l *line, a *attempt) {
+	a.over = true
+	d.forget(a)
+	if l == nil || l.state != up || a.sentOn != l.conn && a.accepted == "" {
+		return // the server drops what was set up on a lost connection
+	}
+	m := rtsp.Message{Method: rtsp.Teardown, URI: d.uri(l, a.setup.Title)}
+	if a.accepted != "" {
+		m.Set("Session", a.accepted)
+	} else {
+		m.Set("Pipelined-Requests", strconv.FormatUint(a.pipe, 10))
+	}
+	d.push(l, d.request(l, &m, call{kind: callTeardown, a: a}, nil))
+}
+
+func (d *Desk) rung(e front.SetRung) {
+	a := d.played[e.Session]
+	if a == nil || !a.playing || a.setup.Attempt != e.Attempt {
+		return
+	}
+	l := d.lines[a.setup.Server]
+	a.setup.Rung = e.Rung
+	if l.state != up || a.adrift {
+		return // it is set when the stream is found again
+	}
+	d.writeRung(l, a)
+}
+
+func (d *Desk) writeRung(l *line, a *attempt) {
+	m := rtsp.Message{Method: rtsp.SetParameter, URI: d.uri(l, a.setup.Title), Headers: []rtsp.Header{
+		{Name: "Session", Value: a.accepted}, {Name: "Content-Type", Value: "text/parameters"}},
+		Body: []byte("rung: " + strconv.Itoa(a.setup.Rung) + "\r\n")}
+	d.push(l, d.request(l, &m, call{kind: callRung, a: a}, nil))
+}
+
+func (d *Desk) probe(server uint32) {
+	l := d.lines[server]
+	if l == nil || l.addr == "" {
+		d.news = append(d.news, front.Probed{Server: server, Status: policy.NoConnect})
+		return
+	}
+	if l.state != up {
+		l.probing, l.probeAt = true, d.now
+		d.dial(l)
+		return
+	}
+	d.writeProbe(l)
+}
+
+func (d *Desk) writeProbe(l *line) {
+	m := rtsp.Message{Method: rtsp.GetParameter, URI: "rtsp://" + l.addr + "/", Headers: []rtsp.Header{
+		{Name: "Content-Type", Value: "text/parameters"}}, Body: []byte("link\r\nuplink\r\n")}
+	d.push(l, d.request(l, &m, call{kind: callProbe}, nil))
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,8 +12,8 @@
 go test -race ./...
 
 lines=$(grep -c '[^[:space:]]' policy/policy.go)
-if [ "$lines" -gt 680 ]; then
-	echo "policy/policy.go has $lines lines that are not blank, 680 at most" >&2
+if [ "$lines" -gt 830 ]; then
+	echo "policy/policy.go has $lines lines that are not blank, 830 at most" >&2
 	exit 1
 fi
 # A tab counts as four columns.
@@ -21,4 +21,4 @@
 	echo "lines of policy/policy.go hold 110 characters at most" >&2
 	exit 1
 fi
-echo "policy/policy.go: $lines lines, 680 at most"
+echo "policy/policy.go: $lines lines, 830 at most"
