--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -305,3 +305,6 @@
 		fn(id, s.ask.Player, s.playing)
 	}
 }
+
+// LastID gives the id of the request taken last.
+func (c *Core) LastID() uint64 { return c.nextID }
--- /dev/null
+++ b/internal/jsonrpc/jsonrpc.go
@@ -0,0 +1,180 @@
+// Package jsonrpc reads and writes the messages of JSON-RPC 2.0, over text frames. It does no I/O.
+package jsonrpc
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Error codes of the specification (section 5.1).
+const (
+	ParseError     = -32700
+	InvalidRequest = -32600
+	MethodNotFound = -32601
+	InvalidParams  = -32602
+	InternalError  = -32603
+)
+
+// MaxBatch bounds the requests of one batch (section 6).
+const MaxBatch = 100
+
+const maxDepth = 32
+
+// Request is one call. ID is the raw JSON of its id; nil marks a notification, which is never answered.
+type Request struct {
+	Method string
+	Params json.RawMessage
+	ID     json.RawMessage
+	Bad    *Error // it is no valid request; the answer to give
+}
+
+// Error is an error object.
+type Error struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+	Data    any    `json:"data,omitempty"`
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s (%d)", e.Message, e.Code) }
+
+// Parse reads a message: one request, or a batch. An error answers the message as a whole, with id null.
+func Parse(text []byte) (list []Request, batch bool, bad *Error) {
+	text = bytes.TrimLeft(text, " \t\r\n")
+	if err := depth(text); err != nil {
+		return nil, false, &Error{Code: ParseError, Message: "parse error: " + err.Error()}
+	}
+	if len(text) == 0 || text[0] != '[' {
+		if !json.Valid(text) {
+			return nil, false, &Error{Code: ParseError, Message: "parse error"}
+		}
+		return []Request{parseOne(text)}, false, nil
+	}
+	var parts []json.RawMessage
+	if err := json.Unmarshal(text, &parts); err != nil {
+		return nil, false, &Error{Code: ParseError, Message: "parse error"}
+	}
+	if len(parts) == 0 {
+		return nil, false, &Error{Code: InvalidRequest, Message: "empty batch"}
+	}
+	if len(parts) > MaxBatch {
+		return nil, false, &Error{Code: InvalidRequest, Message: fmt.Sprintf("a batch holds %d requests at most", MaxBatch)}
+	}
+	for _, p := range parts {
+		list = append(list, parseOne(p))
+	}
+	return list, true, nil
+}
+
+// depth refuses deep nesting before the decoder walks into it.
+func depth(text []byte) error {
+	level, quoted := 0, false
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '[' || c == '{':
+			if level++; level > maxDepth {
+				return errors.New("nested too deep")
+			}
+		case c == ']' || c == '}':
+			level--
+		}
+	}
+	return nil
+}
+
+func parseOne(text []byte) Request {
+	bad := func(id json.RawMessage, why string) Request {
+		if id == nil {
+			id = json.RawMessage("null")
+		}
+		return Request{ID: id, Bad: &Error{Code: InvalidRequest, Message: why}}
+	}
+	var m struct {
+		Version json.RawMessage `json:"jsonrpc"`
+		Method  json.RawMessage `json:"method"`
+		Params  json.RawMessage `json:"params"`
+		ID      json.RawMessage `json:"id"`
+	}
+	if json.Unmarshal(text, &m) != nil {
+		return bad(nil, "invalid request")
+	}
+	if len(m.ID) > 0 {
+		if c := m.ID[0]; c != '"' && c != '-' && (c < '0' || c > '9') && string(m.ID) != "null" {
+			return bad(nil, "id must be a string, a number or null")
+		}
+		if len(m.ID) > 256 {
+			return bad(nil, "id over 256 bytes")
+		}
+	} else if bytes.Contains(text, []byte(`"id"`)) && m.ID == nil && hasNullID(text) {
+		m.ID = json.RawMessage("null")
+	}
+	if string(m.Version) != `"2.0"` {
+		return bad(m.ID, `jsonrpc must be "2.0"`)
+	}
+	var r Request
+	if json.Unmarshal(m.Method, &r.Method) != nil || len(m.Method) == 0 || m.Method[0] != '"' {
+		return bad(m.ID, "method must be a string")
+	}
+	if len(m.Params) > 0 && m.Params[0] != '{' && m.Params[0] != '[' {
+		return bad(m.ID, "params must be an object or an array")
+	}
+	r.Params, r.ID = m.Params, m.ID
+	return r
+}
+
+// hasNullID tells an id of null from none: the decoder reads both as nil.
+func hasNullID(text []byte) bool {
+	var m map[string]json.RawMessage
+	if json.Unmarshal(text, &m) != nil {
+		return false
+	}
+	_, ok := m["id"]
+	return ok
+}
+
+// Result writes the answer to a request.
+func Result(id json.RawMessage, result any) []byte {
+	b, err := json.Marshal(result)
+	if err != nil {
+		return Failure(id, &Error{Code: InternalError, Message: "internal error"})
+	}
+	out := make([]byte, 0, len(b)+len(id)+40)
+	out = append(out, `{"jsonrpc":"2.0","result":`...)
+	out = append(out, b...)
+	out = append(out, `,"id":`...)
+	return append(append(out, id...), '}')
+}
+
+// Failure writes an error as the answer; a nil id is written as null.
+func Failure(id json.RawMessage, e *Error) []byte {
+	if len(id) == 0 {
+		id = json.RawMessage("null")
+	}
+	b, err := json.Marshal(e)
+	if err != nil {
+		b = []byte(`{"code":-32603,"message":"internal error"}`)
+	}
+	out := append([]byte(`{"jsonrpc":"2.0","error":`), b...)
+	out = append(out, `,"id":`...)
+	return append(append(out, id...), '}')
+}
+
+// Notify writes a notification.
+func Notify(method string, params any) []byte {
+	b, err := json.Marshal(params)
+	if err != nil {
+		b = []byte("{}")
+	}
+	return fmt.Appendf(nil, `{"jsonrpc":"2.0","method":%q,"params":%s}`, method, b)
+}
+
+// Join writes answers as one batch.
+func Join(list [][]byte) []byte {
+	return append(append([]byte{'['}, bytes.Join(list, []byte{','})...), ']')
+}
--- /dev/null
+++ b/internal/jsonrpc/jsonrpc_test.go
@@ -0,0 +1,81 @@
+package jsonrpc
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+)
+
+// TestRequests follows JSON-RPC 2.0 sections 4 to 6.
+func TestRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		in     string
+		method string
+		id     string // "-": a notification
+		code   int    // of the one request, or of the message
+	}{
+		"call":                    {`{"jsonrpc":"2.0","method":"a","params":{"x":1},"id":7}`, "a", "7", 0},
+		"string id":               {`{"jsonrpc":"2.0","method":"a","id":"q"}`, "a", `"q"`, 0},
+		"null id is an id":        {`{"jsonrpc":"2.0","method":"a","id":null}`, "a", "null", 0},
+		"notification":            {`{"jsonrpc":"2.0","method":"a"}`, "a", "-", 0},
+		"no version":              {`{"method":"a","id":1}`, "", "1", InvalidRequest},
+		"version 1":               {`{"jsonrpc":"1.0","method":"a","id":1}`, "", "1", InvalidRequest},
+		"method a number":         {`{"jsonrpc":"2.0","method":1,"id":1}`, "", "1", InvalidRequest},
+		"no method":               {`{"jsonrpc":"2.0","id":1}`, "", "1", InvalidRequest},
+		"params a string":         {`{"jsonrpc":"2.0","method":"a","params":"x","id":1}`, "", "1", InvalidRequest},
+		"id an object":            {`{"jsonrpc":"2.0","method":"a","id":{}}`, "", "null", InvalidRequest},
+		"not an object":           {`17`, "", "null", InvalidRequest},
+		"not json":                {`{"jsonrpc":`, "", "", ParseError},
+		"empty":                   {``, "", "", ParseError},
+		"empty batch":             {`[]`, "", "", InvalidRequest},
+		"batch not json":          {`[{},`, "", "", ParseError},
+		"deep":                    {strings.Repeat("[", 1000), "", "", ParseError},
+		"brackets in a string":    {`{"jsonrpc":"2.0","method":"` + strings.Repeat("[", 40) + `","id":1}`, strings.Repeat("[", 40), "1", 0},
+		"oversized id is not fed": {`{"jsonrpc":"2.0","method":"a","id":"` + strings.Repeat("x", 300) + `"}`, "", "null", InvalidRequest},
+	} {
+		list, _, bad := Parse([]byte(c.in))
+		if bad != nil {
+			if bad.Code != c.code {
+				t.Errorf("%s: %v", name, bad)
+			}
+			continue
+		}
+		r := list[0]
+		id := string(r.ID)
+		if r.ID == nil {
+			id = "-"
+		}
+		if r.Method != c.method || id != c.id || (r.Bad != nil) != (c.code != 0) || r.Bad != nil && r.Bad.Code != c.code {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+}
+
+func TestBatches(t *testing.T) {
+	list, batch, bad := Parse([]byte(`[{"jsonrpc":"2.0","method":"a","id":1},1]`))
+	if bad != nil || !batch || len(list) != 2 || list[1].Bad == nil {
+		t.Fatal(list, batch, bad)
+	}
+	if _, _, bad := Parse([]byte("[" + strings.Repeat("1,", MaxBatch) + "1]")); bad == nil || bad.Code != InvalidRequest {
+		t.Fatal(bad)
+	}
+	if got := string(Join([][]byte{Result(list[0].ID, 5), Failure(nil, list[1].Bad)})); !json.Valid([]byte(got)) ||
+		!strings.HasPrefix(got, `[{"jsonrpc":"2.0","result":5,"id":1},{"jsonrpc":"2.0","error":{"code":-32600`) {
+		t.Fatal(got)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`[{"jsonrpc":"2.0","method":"a","id":1},1]`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		list, _, _ := Parse(in)
+		for _, r := range list {
+			if r.ID != nil && !json.Valid(r.ID) {
+				t.Fatalf("id %q", r.ID)
+			}
+			if !json.Valid(Failure(r.ID, &Error{Code: 1})) {
+				t.Fatal("answer is no JSON")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/players/players.go
@@ -0,0 +1,275 @@
+// Package players carries the players' side of a front: WebSocket connections on netpoll, and the session API on
+// them (JSON-RPC 2.0; docs/api/sessions.md). It checks what comes in and hands it to the front's owner; what is
+// decided about a session is not its matter.
+package players
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/gobwas/ws"
+
+	"tealledge/internal/config"
+	"tealledge/internal/front"
+	"tealledge/internal/jsonrpc"
+	"tealledge/internal/pipe"
+	"tealledge/internal/wsock"
+)
+
+// Path is where the session API is served.
+const Path = "/v1/sessions"
+
+// Error codes of the session API, besides those of JSON-RPC.
+const (
+	CodeRefused        = -32001 // turned away; data.retryAfterMs may tell when to come again
+	CodeFailed         = -32002 // no word on what ran
+	CodeUnknownSession = -32003
+	CodeTooManyOpen    = -32004 // more requests open on this connection than allowed
+	CodeUnknownTitle   = -32005
+)
+
+// Owner takes what players ask. Its methods are called from many goroutines and must not wait for sockets.
+type Owner interface {
+	Now() front.Time
+	Open(call *Call, ask front.Ask)
+	Close(call *Call, session uint64)
+	Gone(conn *Conn)
+}
+
+// Hub holds the players' connections.
+type Hub struct {
+	cfg   *config.Config
+	owner Owner
+	loop  netpoll.EventLoop
+	ln    netpoll.Listener
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+	stop  chan struct{}
+	done  sync.WaitGroup
+	Stats Stats
+}
+
+// Stats counts what crossed the players' sockets.
+type Stats struct {
+	Accepted, TurnedAway, Messages, Broken atomic.Uint64
+}
+
+// Conn is one player connection. Sessions is the owner's: the sessions that end with it.
+type Conn struct {
+	hub      *Hub
+	pipe     *pipe.Pipe
+	sock     *wsock.Conn // touched by the connection's reader only
+	read     atomic.Int64
+	pinged   atomic.Int64
+	open     atomic.Int32 // requests that wait for their answer
+	gone     atomic.Bool
+	Sessions map[uint64]struct{}
+}
+
+type connKey struct{}
+
+// New makes a hub that listens at the configured address.
+func New(cfg *config.Config, owner Owner) (*Hub, error) {
+	h := &Hub{cfg: cfg, owner: owner, conns: map[*Conn]struct{}{}, stop: make(chan struct{})}
+	ln, err := netpoll.CreateListener("tcp", cfg.Front.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("players: %w", err)
+	}
+	h.ln = ln
+	h.loop, err = netpoll.NewEventLoop(h.request, netpoll.WithOnConnect(h.connect), netpoll.WithOnDisconnect(h.disconnect))
+	if err != nil {
+		ln.Close()
+		return nil, fmt.Errorf("players: %w", err)
+	}
+	return h, nil
+}
+
+// Addr is where the hub listens.
+func (h *Hub) Addr() net.Addr { return h.ln.Addr() }
+
+// Serve takes connections until Shutdown.
+func (h *Hub) Serve() error {
+	h.done.Add(1)
+	go h.sweep()
+	return h.loop.Serve(h.ln)
+}
+
+// Shutdown closes the listener and all connections, with code 1001, after what waits on them is written.
+func (h *Hub) Shutdown(ctx context.Context) {
+	close(h.stop)
+	h.mu.Lock()
+	var all []*Conn
+	for c := range h.conns {
+		all = append(all, c)
+	}
+	h.mu.Unlock()
+	for _, c := range all {
+		c.pipe.Send(wsock.AppendClose(nil, wsock.CloseGoingAway, "leaving service"))
+		c.pipe.Finish()
+	}
+	h.loop.Shutdown(ctx)
+	h.done.Wait()
+}
+
+func (h *Hub) connect(ctx context.Context, nc netpoll.Connection) context.Context {
+	c := &Conn{hub: h, sock: wsock.New(Path, h.cfg.Front.Message), Sessions: map[uint64]struct{}{},
+		pipe: pipe.New(nc, h.cfg.Front.WriteBuffer, h.cfg.Front.WriteWait)}
+	c.read.Store(int64(h.owner.Now()))
+	h.mu.Lock()
+	full := len(h.conns) >= h.cfg.Front.Connections
+	if !full {
+		h.conns[c] = struct{}{}
+	}
+	h.mu.Unlock()
+	if full {
+		h.Stats.TurnedAway.Add(1)
+		c.pipe.Send([]byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"))
+		c.pipe.Finish()
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	h.Stats.Accepted.Add(1)
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func (h *Hub) disconnect(ctx context.Context, _ netpoll.Connection) {
+	if c, _ := ctx.Value(connKey{}).(*Conn); c != nil {
+		c.leave()
+	}
+}
+
+// leave tells the owner once that the connection is gone.
+func (c *Conn) leave() {
+	if c.gone.Swap(true) {
+		return
+	}
+	c.pipe.Stop()
+	c.hub.mu.Lock()
+	delete(c.hub.conns, c)
+	c.hub.mu.Unlock()
+	c.hub.owner.Gone(c)
+}
+
+func (h *Hub) request(ctx context.Context, nc netpoll.Connection) error {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	b, err := nc.Reader().Next(nc.Reader().Len())
+	if err != nil || c == nil {
+		nc.Close()
+		return err
+	}
+	now := h.owner.Now()
+	c.read.Store(int64(now))
+	list := c.sock.Feed(b)
+	nc.Reader().Release()
+	for _, in := range list {
+		if in.Kind == wsock.Text {
+			h.Stats.Messages.Add(1)
+			c.message(now, in.Data)
+		}
+	}
+	if len(c.sock.Out) > 0 {
+		c.pipe.Send(c.sock.Out)
+		c.sock.Out = nil
+	}
+	if c.sock.Closed() {
+		h.Stats.Broken.Add(1)
+		c.pipe.Finish()
+	}
+	return nil
+}
+
+// sweep pings connections that are quiet and closes those that stay so.
+func (h *Hub) sweep() {
+	defer h.done.Done()
+	tick := time.NewTicker(max(h.cfg.Front.Ping/4, 25*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.stop:
+			return
+		case <-tick.C:
+		}
+		now := int64(h.owner.Now())
+		var idle, quiet []*Conn
+		h.mu.Lock()
+		for c := range h.conns {
+			switch age := now - c.read.Load(); {
+			case age >= int64(h.cfg.Front.Idle):
+				idle = append(idle, c)
+			case age >= int64(h.cfg.Front.Ping) && c.pinged.Load() <= c.read.Load():
+				quiet = append(quiet, c)
+			}
+		}
+		h.mu.Unlock()
+		for _, c := range idle {
+			c.pipe.Send(wsock.AppendClose(nil, wsock.CloseGoingAway, "idle"))
+			c.pipe.Finish()
+		}
+		for _, c := range quiet {
+			c.pinged.Store(now)
+			c.pipe.Send(wsock.Frame(nil, ws.OpPing, nil))
+		}
+	}
+}
+
+// send writes a text message.
+func (c *Conn) send(text []byte) {
+	c.pipe.Send(wsock.Frame(make([]byte, 0, len(text)+10), ws.OpText, text))
+}
+
+// Notify sends a notification.
+func (c *Conn) Notify(method string, params any) { c.send(jsonrpc.Notify(method, params)) }
+
+// Call is a request that waits for its answer.
+type Call struct {
+	Conn  *Conn
+	id    json.RawMessage
+	batch *batch
+	slot  int
+	opens bool // it counts among the connection's open requests
+	done  atomic.Bool
+}
+
+// batch gathers the answers to a batch; they are sent together (JSON-RPC 2.0 section 6).
+type batch struct {
+	mu   sync.Mutex
+	left int
+	list [][]byte
+}
+
+// Result answers with a result; Fail with an error. The first answer counts, any other is dropped and tells so.
+func (c *Call) Result(v any) bool { return c.answer(jsonrpc.Result(c.id, v)) }
+
+// Fail answers with an error.
+func (c *Call) Fail(code int, message string, data any) bool {
+	return c.answer(jsonrpc.Failure(c.id, &jsonrpc.Error{Code: code, Message: message, Data: data}))
+}
+
+func (c *Call) answer(text []byte) bool {
+	if c.done.Swap(true) {
+		return false
+	}
+	if c.opens {
+		c.Conn.open.Add(-1)
+	}
+	if c.batch == nil {
+		c.Conn.send(text)
+		return true
+	}
+	b := c.batch
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.list[c.slot] = text
+	if b.left--; b.left == 0 {
+		c.Conn.send(jsonrpc.Join(b.list))
+	}
+	return true
+}
+
+// Left tells whether the connection is gone.
+func (c *Conn) Left() bool { return c.gone.Load() }
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,532 @@
+// Package serve runs one front: it feeds the core from the sockets and carries its effects out. One goroutine, the
+// owner, drives core and desk; sockets hand it events through a bounded queue.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tealledge/decide/admit"
+	"tealledge/decide/members"
+	"tealledge/internal/baseline"
+	"tealledge/internal/config"
+	"tealledge/internal/exchange"
+	"tealledge/internal/front"
+	"tealledge/internal/media"
+	"tealledge/internal/players"
+	"tealledge/internal/rtsp"
+	"tealledge/internal/serverlist"
+	"tealledge/policy"
+)
+
+const (
+	batchMost  = 256                   // events that the owner takes before it looks at its timers
+	deskEvery  = 50 * time.Millisecond // how often the desk looks at its connections
+	closeMost  = time.Second           // how long a front that leaves waits for its last teardowns
+	mediaBytes = 1 << 20               // bytes that may wait on one server's connection
+)
+
+// Server is one front.
+type Server struct {
+	cfg     *config.Config
+	log     zerolog.Logger
+	start   time.Time
+	core    *front.Core
+	desk    *exchange.Desk
+	links   *media.Links
+	hub     *players.Hub
+	queue   *queue
+	view    members.View
+	index   indexBox
+	cache   serverlist.Cache
+	source  serverlist.Source
+	addrs   map[uint32]string
+	calls   map[uint64]*players.Call // by the handle given to the core
+	handles uint64
+	byID    map[uint64]*players.Call // sessions that play or wait, by session id
+	rng     *rand.Rand
+	doubt   bool // the last answer of the list was not believed; told once
+
+	leaving  bool
+	closing  bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	finished chan struct{}
+	group    sync.WaitGroup
+}
+
+// indexBox hands the list's index from the owner to the follower.
+type indexBox struct {
+	mu sync.Mutex
+	v  uint64
+}
+
+func (b *indexBox) get() uint64 { b.mu.Lock(); defer b.mu.Unlock(); return b.v }
+func (b *indexBox) set(v uint64) {
+	b.mu.Lock()
+	b.v = v
+	b.mu.Unlock()
+}
+
+// New makes a front and listens; nothing is taken before Run.
+func New(cfg *config.Config, log zerolog.Logger) (*Server, error) {
+	s := &Server{cfg: cfg, log: log, start: time.Now(), addrs: map[uint32]string{}, calls: map[uint64]*players.Call{},
+		byID: map[uint64]*players.Call{}, queue: newQueue(cfg.Front.Queue), finished: make(chan struct{})}
+	seed := uint64(s.start.UnixNano())
+	s.rng = rand.New(rand.NewSource(int64(seed)))
+	var module front.Module = policy.New(cfg.Service, seed)
+	if cfg.Front.Baseline != "" {
+		module = baseline.New(baseline.Kind(cfg.Front.Baseline), cfg.Service, seed)
+		log.Warn().Str("baseline", cfg.Front.Baseline).Msg("a baseline decides in the module's place")
+	}
+	s.core = front.New(front.Config{Settings: cfg.Service, Module: module, Seed: seed,
+		FirstID:      seed / uint64(time.Millisecond) << 12 & (1<<52 - 1), // above every id of an earlier start
+		AnswerMargin: policy.Time(cfg.Front.AnswerMargin), LastLine: policy.Time(cfg.Front.LastLine),
+		MovedFor: policy.Time(cfg.Front.MovedFor), MovedMost: 10_000})
+	s.desk = exchange.New(exchange.Config{Front: cfg.Front.Name, Fields: cfg.Service.Fields,
+		ProbeWait: policy.Time(cfg.Front.ProbeWait), Stall: policy.Time(cfg.Front.Stall),
+		KeepAlive: policy.Time(cfg.Front.KeepAlive), TitleName: s.titleName})
+	s.links = media.New(sink{s}, time.Duration(cfg.Service.ConnectWait), cfg.Front.WriteWait, mediaBytes)
+	names := serverlist.Names{Kinds: cfg.Kinds, Zones: cfg.Zones}
+	s.cache = serverlist.Cache{Dir: cfg.Front.StateDir, Names: names}
+	if cfg.Front.ListFile != "" {
+		s.source = &serverlist.File{Path: cfg.Front.ListFile, Names: names}
+	} else {
+		var err error
+		if s.source, err = serverlist.NewConsul(cfg.Front.Consul, cfg.Front.Service, cfg.Front.Name, names); err != nil {
+			return nil, err
+		}
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	var err error
+	s.hub, err = players.New(cfg, owner{s})
+	return s, err
+}
+
+// Addr is where players connect.
+func (s *Server) Addr() string { return s.hub.Addr().String() }
+
+func (s *Server) titleName(n uint64) string {
+	if n == 0 || n > uint64(len(s.cfg.Titles)) {
+		return strconv.FormatUint(n, 10)
+	}
+	return s.cfg.Titles[n-1].Name
+}
+
+// now is the module's clock: wall time at the start and monotonic from there, so that it never steps, and the
+// server list's start times compare with it.
+func (s *Server) now() front.Time { return s.start.UnixNano() + int64(time.Since(s.start)) }
+
+// Run serves until ctx ends, then leaves: it answers what it holds, takes nothing new and ends in bounded time.
+func (s *Server) Run(ctx context.Context) error {
+	cached, err := s.cache.Load()
+	if err != nil {
+		s.log.Warn().Err(err).Msg("started without the last list")
+	}
+	if len(cached) > 0 {
+		s.believe(policy.ListCached, cached, 0)
+	}
+	s.group.Add(1)
+	go func() {
+		defer s.group.Done()
+		serverlist.Follow(s.ctx, s.source, s.index.get, func(a serverlist.Answer, err error) {
+			s.queue.put(admit.Advisory, listAnswer{a, err})
+		})
+	}()
+	go s.own()
+	served := make(chan error, 1)
+	go func() { served <- s.hub.Serve() }()
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-served:
+		if err == nil {
+			err = errors.New("players: the listener ended")
+		}
+	}
+	s.queue.force(leave{})
+	<-s.finished
+	s.cancel()
+	end, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	s.hub.Shutdown(end)
+	s.links.Close()
+	s.queue.close()
+	s.group.Wait()
+	return err
+}
+
+// ---- What the sockets bring ----
+
+type (
+	asked struct {
+		call *players.Call
+		ask  front.Ask
+	}
+	closed struct {
+		call    *players.Call
+		session uint64
+	}
+	playerGone struct{ conn *players.Conn }
+	connected  struct{ server, conn uint64 }
+	dialFailed struct{ server, conn uint64 }
+	lost       struct{ server, conn, begun uint64 }
+	received   struct {
+		server, conn uint64
+		list         []*rtsp.Message
+	}
+	listAnswer struct {
+		serverlist.Answer
+		err error
+	}
+	leave   struct{}
+	inspect struct{ reply chan Snapshot }
+)
+
+// owner is the hub's view of the server.
+type owner struct{ s *Server }
+
+func (o owner) Now() front.Time { return o.s.now() }
+
+func (o owner) Open(call *players.Call, ask front.Ask) {
+	if !o.s.queue.put(admit.Ask, asked{call, ask}) {
+		// The queue is full of work already taken: turned away before any work is spent, and never begun.
+		after := admit.ComeBack(o.s.cfg.Service.MaxRetry, float64(o.s.now()%1000)/1000)
+		call.Fail(players.CodeRefused, "refused: busy", players.NoData{RetryAfterMs: after / policy.Millisecond})
+	}
+}
+
+func (o owner) Close(call *players.Call, session uint64) {
+	o.s.queue.put(admit.News, closed{call, session})
+}
+func (o owner) Gone(conn *players.Conn) { o.s.queue.force(playerGone{conn}) }
+
+// sink is the links' view of the server.
+type sink struct{ s *Server }
+
+func (k sink) Connected(server uint32, conn uint64) { k.s.queue.force(connected{uint64(server), conn}) }
+func (k sink) DialFailed(server uint32, conn uint64, err error) {
+	k.s.log.Debug().Uint32("server", server).Err(err).Msg("dial failed")
+	k.s.queue.force(dialFailed{uint64(server), conn})
+}
+func (k sink) Received(server uint32, conn uint64, list []*rtsp.Message) {
+	k.s.queue.put(admit.News, received{uint64(server), conn, list})
+}
+func (k sink) Lost(server uint32, conn uint64, begun uint64) {
+	k.s.queue.force(lost{uint64(server), conn, begun})
+}
+
+// ---- The owner ----
+
+func (s *Server) own() {
+	defer close(s.finished)
+	timer := time.NewTimer(deskEvery)
+	defer timer.Stop()
+	var batch []any
+	deskAt := s.now()
+	var drainBy, closeBy front.Time
+	for {
+		batch = s.queue.take(batchMost, batch)
+		for _, item := range batch {
+			s.handle(item)
+		}
+		now := s.now()
+		s.settle(s.core.Advance(now))
+		if now >= deskAt {
+			deskAt = now + front.Time(deskEvery)
+			s.desk.Tick(now)
+			s.settle(nil)
+		}
+		if s.leaving && !s.closing {
+			if drainBy == 0 {
+				drainBy = now + front.Time(s.cfg.Front.DrainLimit)
+			}
+			if s.core.Open() == 0 || now >= drainBy {
+				s.closing = true
+				closeBy = now + front.Time(closeMost)
+				s.settle(s.core.Step(now, front.CloseAll{}))
+			}
+		}
+		if s.closing {
+			if _, calls := s.desk.Counts(); calls == 0 || now >= closeBy {
+				st := s.core.Stats()
+				s.log.Info().Uint64("taken", st.Taken).Uint64("plays", st.Plays).Uint64("refused", st.Refused).
+					Uint64("failed", st.Failed).Uint64("faults", st.Faults).Msg("left service")
+				return
+			}
+		}
+		if len(batch) == batchMost {
+			continue
+		}
+		wait := time.Duration(deskAt - now)
+		if at, ok := s.core.Next(); ok {
+			wait = min(wait, time.Duration(at-now))
+		}
+		if wait <= 0 {
+			continue
+		}
+		timer.Reset(wait)
+		select {
+		case <-s.queue.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+func (s *Server) handle(item any) {
+	now := s.now()
+	switch e := item.(type) {
+	case asked:
+		s.take(now, e)
+	case closed:
+		if _, mine := e.call.Conn.Sessions[e.session]; !mine {
+			e.call.Fail(players.CodeUnknownSession, "no such session here", nil)
+			return
+		}
+		s.step(now, front.Leave{Session: e.session})
+		s.forget(e.session)
+		e.call.Result(map[string]string{"status": "closed", "session": players.SessionName(s.cfg.Front.Name, e.session)})
+	case playerGone:
+		for id := range e.conn.Sessions {
+			s.step(now, front.Leave{Session: id})
+			s.forget(id)
+		}
+	case connected:
+		s.desk.Connected(now, uint32(e.server), e.conn)
+	case dialFailed:
+		s.desk.DialFailed(now, uint32(e.server), e.conn)
+	case received:
+		for _, m := range e.list {
+			s.desk.Received(now, uint32(e.server), e.conn, m)
+		}
+	case lost:
+		s.desk.Lost(now, uint32(e.server), e.conn, e.begun)
+	case listAnswer:
+		s.listed(now, e)
+	case leave:
+		s.leaving = true
+	case inspect:
+		e.reply <- s.snapshot()
+	}
+	s.settle(nil)
+}
+
+// take takes a request. Its session id is known once the core has taken it.
+func (s *Server) take(now front.Time, e asked) {
+	s.handles++
+	e.ask.Player, e.ask.Draining = s.handles, s.leaving
+	s.calls[s.handles] = e.call
+	before := s.core.Stats().Taken
+	effects := s.core.Step(now, e.ask)
+	if s.core.Stats().Taken == before+1 {
+		id := s.core.LastID()
+		s.byID[id] = e.call
+		e.call.Conn.Sessions[id] = struct{}{}
+		if e.call.Conn.Left() { // it left before its request was taken: nobody would tell so any more
+			s.settle(effects)
+			s.step(now, front.Leave{Session: id})
+			s.forget(id)
+			delete(s.calls, e.ask.Player)
+			return
+		}
+	}
+	s.settle(effects)
+}
+
+func (s *Server) step(now front.Time, e front.Event) { s.settle(s.core.Step(now, e)) }
+
+// settle carries out effects, and what follows from them, until all is quiet.
+func (s *Server) settle(effects []front.Effect) {
+	for _, e := range effects {
+		s.effect(e)
+	}
+	for {
+		acts, news := s.desk.Take()
+		if len(acts) == 0 && len(news) == 0 {
+			return
+		}
+		for _, a := range acts {
+			s.links.Do(a)
+		}
+		for _, n := range news {
+			now := s.now()
+			if r, ok := n.(exchange.Redirected); ok {
+				s.redirected(now, r.Server)
+				continue
+			}
+			for _, e := range s.core.Step(now, n) {
+				s.effect(e)
+			}
+		}
+	}
+}
+
+func (s *Server) effect(effect front.Effect) {
+	name := func(id uint64) string { return players.SessionName(s.cfg.Front.Name, id) }
+	switch e := effect.(type) {
+	case front.Plays:
+		addr := s.desk.Address(e.Server)
+		if call := s.answering(e.Player); call != nil {
+			call.Result(players.PlaysResult{Status: "plays", Session: name(e.Session), Server: addr,
+				URI: "rtsp://" + addr + "/" + name(e.Session), Rung: e.Rung, Rate: s.cfg.Service.RungKB[e.Rung]})
+		}
+	case front.Refused:
+		s.log.Debug().Uint64("session", e.Session).Msg("refused")
+		if call := s.answering(e.Player); call != nil {
+			call.Fail(players.CodeRefused, "refused", players.NoData{Session: name(e.Session), RetryAfterMs: e.After / policy.Millisecond})
+		}
+		s.forget(e.Session)
+	case front.Failed:
+		s.log.Debug().Uint64("session", e.Session).Msg("failed")
+		if call := s.answering(e.Player); call != nil {
+			call.Fail(players.CodeFailed, "failed", players.NoData{Session: name(e.Session)})
+		}
+		s.forget(e.Session)
+	case front.RungTold:
+		if call := s.byID[e.Session]; call != nil {
+			call.Conn.Notify("session.rung", map[string]any{"session": name(e.Session), "rung": e.Rung, "rate": s.cfg.Service.RungKB[e.Rung]})
+		}
+	case front.Moved:
+		if call := s.byID[e.Session]; call != nil {
+			call.Conn.Notify("session.moved", map[string]any{"session": name(e.Session), "token": strconv.FormatUint(e.Token, 16)})
+		}
+		s.forget(e.Session)
+	case front.Over:
+		if call := s.byID[e.Session]; call != nil {
+			call.Conn.Notify("session.ended", map[string]any{"session": name(e.Session), "reason": e.Why})
+		}
+		s.forget(e.Session)
+	case front.Follow: // the follower asks all the time
+	case front.Log:
+		s.log.Info().Str("from", "module").Msg(e.Text)
+	case front.Fault:
+		s.log.Error().Msg("fault: " + e.Text)
+	default:
+		s.desk.Do(s.now(), effect)
+	}
+}
+
+func (s *Server) answering(handle uint64) *players.Call {
+	call := s.calls[handle]
+	delete(s.calls, handle)
+	return call
+}
+
+func (s *Server) forget(id uint64) {
+	if call := s.byID[id]; call != nil {
+		delete(call.Conn.Sessions, id)
+		delete(s.byID, id)
+	}
+}
+
+// ---- The server list ----
+
+func (s *Server) listed(now front.Time, a listAnswer) {
+	if a.err != nil {
+		s.log.Warn().Err(a.err).Msg("server list not had; the old one stands")
+		return
+	}
+	for _, text := range a.Skipped {
+		s.log.Warn().Str("entry", text).Msg("server list: entry skipped")
+	}
+	entries := make([]policy.Entry, 0, len(a.Entries))
+	for _, e := range a.Entries {
+		entries = append(entries, e.Entry)
+	}
+	list, verdict := s.view.Take(now, members.Answer{Index: a.Index, Entries: entries})
+	s.index.set(s.view.Index())
+	if s.view.Doubted() { // asked again from the start, so that the service answers at once
+		s.index.set(0)
+	}
+	if verdict != members.Believed {
+		if verdict != members.Same && !s.doubt {
+			s.doubt = true
+			s.log.Warn().Uint64("index", a.Index).Int("entries", len(entries)).Msg("server list not believed; the old one stands")
+		}
+		return
+	}
+	s.doubt = false
+	byID := make(map[uint32]string, len(a.Entries))
+	for _, e := range a.Entries {
+		byID[e.Server] = e.Addr
+	}
+	out := make([]serverlist.Entry, 0, len(list))
+	for _, e := range list {
+		out = append(out, serverlist.Entry{Entry: e, Addr: byID[e.Server]})
+	}
+	s.believe(policy.ListFull, out, now)
+	s.group.Add(1)
+	go func() { // a slow disk holds nobody up
+		defer s.group.Done()
+		if err := s.cache.Save(out); err != nil {
+			s.log.Warn().Err(err).Msg("last list not kept")
+		}
+	}()
+}
+
+func (s *Server) believe(kind policy.ListKind, list []serverlist.Entry, now front.Time) {
+	now = max(now, s.now())
+	var servers []exchange.Server
+	var entries []policy.Entry
+	ready := 0
+	for _, e := range list {
+		servers = append(servers, exchange.Server{ID: e.Server, Addr: e.Addr, Started: e.Started})
+		entries = append(entries, e.Entry)
+		if e.Health == policy.Ready {
+			ready++
+		}
+	}
+	s.log.Info().Int("servers", len(list)).Int("ready", ready).Bool("cached", kind == policy.ListCached).Msg("server list")
+	// The core first: what was not sent to a server that drains is taken back before its connection is touched.
+	s.step(now, front.Listed{List: policy.List{Kind: kind, Entries: entries}})
+	s.desk.Listed(now, servers)
+	s.settle(nil)
+}
+
+func (s *Server) redirected(now front.Time, server uint32) {
+	e, news := s.view.Redirected(server, now)
+	if !news {
+		return
+	}
+	s.log.Info().Uint32("server", server).Msg("server says that it drains")
+	for _, effect := range s.core.Step(now, front.Listed{List: policy.List{Kind: policy.ListDelta, Entries: []policy.Entry{e}}}) {
+		s.effect(effect)
+	}
+}
+
+// ---- A look inside ----
+
+// Snapshot is a look inside a front, for tests and the metrics page.
+type Snapshot struct {
+	front.Stats
+	Open, Held, Attempts, Calls, QueuePeak int
+	TurnedAway                             uint64
+}
+
+func (s *Server) snapshot() Snapshot {
+	held, calls := s.desk.Counts()
+	_, peak, turned := s.queue.stats()
+	return Snapshot{Stats: s.core.Stats(), Open: s.core.Open(), Held: s.core.Held(), Attempts: held, Calls: calls,
+		QueuePeak: peak, TurnedAway: turned}
+}
+
+// Inspect gives a snapshot; it fails if the front has left.
+func (s *Server) Inspect(ctx context.Context) (Snapshot, error) {
+	reply := make(chan Snapshot, 1)
+	s.queue.force(inspect{reply})
+	select {
+	case snap := <-reply:
+		return snap, nil
+	case <-s.finished:
+		return Snapshot{}, fmt.Errorf("the front has left service")
+	case <-ctx.Done():
+		return Snapshot{}, ctx.Err()
+	}
+}
