--- /dev/null
+++ b/cmd/tealledge/days.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"tealledge/internal/audit"
+	"tealledge/internal/day"
+	"tealledge/internal/record"
+)
+
+// errRules tells that a rule was broken; what and where was printed.
+var errRules = errors.New("a rule was broken")
+
+type dayCmd struct {
+	File     string `arg:"" optional:"" type:"existingfile" help:"Script of the day; the built-in bad day if left out."`
+	Record   string `help:"Keep settings, logs and records in this directory." type:"path"`
+	Baseline string `help:"A plain policy decides in the module's place: random or fewest." enum:",random,fewest" default:""`
+	Seed     int64  `help:"Another seed than the script's." default:"0"`
+	Times    int    `help:"Play the day so many times, each with the next seed; the first broken rule ends it." default:"1"`
+}
+
+func (c *dayCmd) Run(ctx context.Context) error {
+	s, err := day.Bad()
+	if c.File != "" {
+		s, err = day.Load(c.File)
+	}
+	if err != nil {
+		return err
+	}
+	if c.Seed != 0 {
+		s.Seed = c.Seed
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	for i := range c.Times {
+		dir := c.Record
+		if dir == "" || c.Times > 1 {
+			if dir, err = os.MkdirTemp(c.Record, "tealledge-day-"); err != nil {
+				return err
+			}
+		} else if err := os.MkdirAll(dir, 0o755); err != nil {
+			return err
+		}
+		report, err := day.Run(ctx, s, day.Options{Command: []string{self, "serve", "-c"}, Dir: dir, Baseline: c.Baseline, Out: os.Stderr})
+		if err != nil {
+			return err
+		}
+		if c.Times > 1 {
+			fmt.Printf("day %d, seed %d: ", i+1, s.Seed)
+		}
+		if err := judged(report, c.Times > 1); err != nil {
+			fmt.Printf("records: %s\n", dir)
+			return err
+		}
+		if c.Record == "" {
+			os.RemoveAll(dir)
+		}
+		s.Seed++
+	}
+	return nil
+}
+
+// judged prints a report and tells whether a rule was broken.
+func judged(r *audit.Report, brief bool) error {
+	if brief && len(r.Violations) == 0 {
+		fmt.Printf("every rule kept, %d asks, %d plays, p99 %v, worth %.3f\n", r.Asks, r.Replies["plays"], audit.Quantile(r.Open, 0.99), r.Worth)
+		return nil
+	}
+	fmt.Print(r.Table())
+	if len(r.Violations) == 0 {
+		fmt.Println("every rule kept")
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, v := range r.Violations { // the first message that breaks each rule
+		if !seen[v.Rule] {
+			seen[v.Rule] = true
+			fmt.Println(v)
+		}
+	}
+	return errRules
+}
+
+type auditCmd struct {
+	Dir  string `arg:"" type:"existingdir" help:"Directory with the records (*.jsonl)."`
+	JSON bool   `help:"Print the report as JSON."`
+}
+
+func (c *auditCmd) Run() error {
+	events, err := record.ReadDir(c.Dir)
+	if err != nil {
+		return err
+	}
+	report, err := audit.Judge(events)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		report.Open = nil
+		b, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Println(string(b))
+		if len(report.Violations) > 0 {
+			return errRules
+		}
+		return nil
+	}
+	return judged(report, false)
+}
--- /dev/null
+++ b/cmd/tealledge/main.go
@@ -0,0 +1,87 @@
+// Command tealledge is the session front with its tools: it serves players, checks settings, plays scripted days
+// against stand-ins and judges their records. See docs/run/front.md.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"tealledge/internal/config"
+	"tealledge/internal/serve"
+)
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Serve players by a settings file. SIGTERM leaves service."`
+	Check   checkCmd   `cmd:"" help:"Check a settings file; every mistake is told with its line and column."`
+	Demo    demoCmd    `cmd:"" help:"Run a list, media stand-ins and one front, and stay up."`
+	Play    playCmd    `cmd:"" help:"Open one session at a front and watch it for a while."`
+	Standin standinCmd `cmd:"" help:"Run a stand-in alone."`
+	Day     dayCmd     `cmd:"" help:"Play a scripted day against stand-ins and judge what crossed the sockets."`
+	Audit   auditCmd   `cmd:"" help:"Judge the records of a day."`
+}
+
+func main() {
+	var c cli
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k := kong.Parse(&c, kong.Name("tealledge"), kong.UsageOnError(),
+		kong.Description("A session front: it places video sessions on media servers and shapes them there."),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	err := k.Run()
+	if errors.Is(err, errRules) {
+		os.Exit(1) // the table has said it
+	}
+	k.FatalIfErrorf(err)
+}
+
+type serveCmd struct {
+	Config string `short:"c" required:"" type:"existingfile" help:"Settings file."`
+	Pretty bool   `help:"Log for eyes in place of JSON."`
+}
+
+func logger(level string, pretty bool) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
+	log := zerolog.New(os.Stderr)
+	if pretty {
+		log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr})
+	}
+	return log.Level(l).With().Timestamp().Logger()
+}
+
+func (c *serveCmd) Run(ctx context.Context) error {
+	cfg, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	s, err := serve.New(cfg, logger(cfg.Front.LogLevel, c.Pretty).With().Str("front", cfg.Front.Name).Logger())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("ready ws://%s/v1/sessions\n", s.Addr())
+	return s.Run(ctx)
+}
+
+type checkCmd struct {
+	File string `arg:"" type:"existingfile"`
+}
+
+func (c *checkCmd) Run() error {
+	cfg, err := config.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: front %s, %d classes, %d tenants, %d rungs, %d titles\n", c.File, cfg.Front.Name, len(cfg.Classes), len(cfg.Tenants),
+		len(cfg.Service.RungKB), len(cfg.Titles))
+	return nil
+}
--- /dev/null
+++ b/internal/audit/rules.go
@@ -0,0 +1,240 @@
+package audit
+
+import (
+	"slices"
+	"time"
+
+	"tealledge/internal/record"
+)
+
+// answers is the first rule. A request that a running front has taken gets exactly one answer before its player
+// gives up. Not owed: to players that left, by fronts that were killed meanwhile, and to requests written to a
+// front that had begun to leave and closed before it read them. Time in which a front stood still does not count.
+func (j *judge) answers() {
+	for _, e := range j.events {
+		if e.What != record.Ask {
+			continue
+		}
+		c := j.calls[e.Call]
+		if c.ask.T != e.T {
+			continue
+		}
+		j.report.Checked[RuleAnswer]++
+		wait := j.class(e.Class).Deadline
+		if e.Wait > 0 {
+			wait = min(wait, time.Duration(e.Wait))
+		}
+		limit := e.T + int64(wait+j.rules.AnswerGrace)
+		if len(c.replies) > 1 {
+			j.broken(RuleAnswer, c.replies[1], "a second answer to %s", e.Call)
+		}
+		if len(c.replies) > 0 {
+			still, _ := j.paused(e.Front, e.T, c.replies[0].T)
+			if late := time.Duration(c.replies[0].T-limit) - still; late > 0 {
+				j.broken(RuleAnswer, c.replies[0], "answer to %s came %v late", e.Call, late)
+			}
+			continue
+		}
+		until := j.events[len(j.events)-1].T
+		if c.ended != nil {
+			until = c.ended.T
+		}
+		_, killed := j.paused(e.Front, e.T-int64(j.rules.Skew), until+int64(j.rules.Skew))
+		at, leaving := j.leaving[e.Front]
+		switch {
+		case killed, c.ended != nil && c.ended.What == record.Left, leaving && e.T >= at && c.ended != nil:
+		case c.ended != nil:
+			j.broken(RuleAnswer, *c.ended, "the connection of %s was closed without an answer", e.Call)
+		default:
+			still, _ := j.paused(e.Front, e.T, until)
+			if until-int64(still) > limit {
+				j.broken(RuleAnswer, e, "no answer to %s", e.Call)
+			}
+		}
+	}
+}
+
+// neverRan tells whether an attempt was answered, by a time, in a way that proves that it never ran.
+func (a *attempt) neverRan(by int64) bool {
+	return a.answered > 0 && a.answered <= by && (a.status == 453 || a.status == 503)
+}
+
+// once is the second rule. A paid session is set up again, or refused, only if every earlier attempt provably never
+// ran, and no session ever has two attempts out. A killed front's sessions end with it; ids are never used again.
+func (j *judge) once() {
+	for _, a := range j.order {
+		j.report.Checked[RuleOnce]++
+		for _, b := range j.sessions[a.Front+"/"+a.Session] {
+			if b == a || b.T > a.T || b.T == a.T && b.Attempt >= a.Attempt {
+				continue
+			}
+			if b.Attempt == a.Attempt {
+				j.broken(RuleOnce, a.Event, "attempt %s arrived twice", a.Key())
+			}
+			if b.ends == 0 || b.ends-a.T > int64(j.rules.Skew) {
+				j.broken(RuleOnce, a.Event, "attempt %s arrived while %s was out at server %d", a.Key(), b.Key(), b.Server)
+			}
+			if j.class(a.Class).Paid && !b.neverRan(a.T) {
+				j.broken(RuleOnce, a.Event, "paid set-up %s again, though %s may have run", a.Key(), b.Key())
+			}
+		}
+	}
+	for _, e := range j.events {
+		if e.What != record.Reply || e.Text != "refused" || !j.class(e.Class).Paid || e.Session == "" {
+			continue
+		}
+		j.report.Checked[RuleOnce]++
+		for _, b := range j.sessions[e.Front+"/"+e.Session] {
+			if !b.neverRan(e.T) {
+				j.broken(RuleOnce, e, "paid session %s refused, though %s may have run", e.Session, b.Key())
+			}
+		}
+	}
+}
+
+// drains is the third rule: nothing new arrives at a server later than the grace after this front was told that it
+// drains or is gone. A front that was killed knows only what it is told after its start.
+func (j *judge) drains() {
+	type pair struct {
+		front  string
+		server uint32
+	}
+	told := map[pair]record.Event{}
+	for _, e := range j.events {
+		switch e.What {
+		case record.Told:
+			p := pair{e.Front, e.Server}
+			if was, ok := told[p]; ok && was.Health != "ready" && e.Health != "ready" {
+				continue // the first word counts
+			}
+			told[p] = e
+		case record.Killed:
+			for p := range told {
+				if p.front == e.Front {
+					delete(told, p)
+				}
+			}
+		case record.Setup:
+			j.report.Checked[RuleDrain]++
+			t, ok := told[pair{e.Front, e.Server}]
+			if !ok || t.Health == "ready" {
+				continue
+			}
+			still, _ := j.paused(e.Front, t.T, e.T)
+			if after := time.Duration(e.T-t.T) - still; after > j.rules.DrainGrace+j.rules.Skew {
+				j.broken(RuleDrain, e, "set-up at server %d, %v after the front was told that it is %s", e.Server, after, t.Health)
+			}
+		}
+	}
+}
+
+// cold is the fourth rule: within any span, a server that just started is sent no more than the stated multiple of
+// what it can take then.
+func (j *judge) cold() {
+	type state struct {
+		from  int64
+		slots float64
+		sent  []int64
+	}
+	servers := map[uint32]*state{}
+	for _, e := range j.events {
+		switch e.What {
+		case record.Start:
+			delete(servers, e.Server)
+			if e.Cold {
+				servers[e.Server] = &state{from: e.T, slots: e.Slots}
+			}
+		case record.Die:
+			if e.Text == "pushed over while cold" {
+				j.broken(RuleCold, e, "server %d was pushed over", e.Server)
+			}
+		case record.Setup:
+			s := servers[e.Server]
+			if s == nil || e.T-s.from > int64(j.rules.ColdSpan) || j.rules.ColdSpan <= 0 {
+				continue
+			}
+			j.report.Checked[RuleCold]++
+			s.sent = append(s.sent, e.T)
+			s.sent = slices.DeleteFunc(s.sent, func(t int64) bool { return e.T-t > int64(j.rules.FallSpan) })
+			warm := j.rules.ColdFrom + (1-j.rules.ColdFrom)*float64(e.T-s.from)/float64(j.rules.ColdSpan)
+			most := s.slots/j.rules.ColdSpan.Seconds()*warm*j.rules.FallTimes*j.rules.FallSpan.Seconds() + 2 // slack for chance
+			if float64(len(s.sent)) > most {
+				j.broken(RuleCold, e, "%d set-ups within %v at server %d, which takes %.1f then", len(s.sent), j.rules.FallSpan, e.Server, most)
+			}
+		}
+	}
+}
+
+// terms is the fifth rule: no rung under the class's floor, no more sessions of a title and class at a front than
+// seats, set-ups included.
+func (j *judge) terms() {
+	type seat struct {
+		front, title string
+		class        int
+	}
+	held := map[seat][]*attempt{}
+	for _, e := range j.events {
+		switch e.What {
+		case record.Setup, record.Rung, record.Play:
+			j.report.Checked[RuleTerms]++
+			if floor := j.class(e.Class).Floor; e.Rung < floor {
+				j.broken(RuleTerms, e, "rung %d, under the floor %d of class %s", e.Rung, floor, j.class(e.Class).Name)
+			}
+		}
+		seats := j.class(e.Class).Seats
+		if e.What != record.Setup || seats == 0 {
+			continue
+		}
+		k := seat{e.Front, e.Title, e.Class}
+		a := j.attempts[e.Key()]
+		list := slices.DeleteFunc(held[k], func(o *attempt) bool {
+			return o.ends != 0 && o.ends-int64(j.rules.Skew) <= e.T || o.Session == e.Session
+		})
+		held[k] = append(list, a)
+		if len(held[k]) > seats {
+			j.broken(RuleTerms, e, "%d sessions of title %s and class %s at front %s, which has %d seats", len(held[k]), e.Title,
+				j.class(e.Class).Name, e.Front, seats)
+		}
+	}
+}
+
+// budget is the sixth rule: a front's attempts beyond each session's first, within any span, number no more than a
+// few plus a share of the requests that it took.
+func (j *judge) budget() {
+	if !j.rules.Budgeted {
+		return
+	}
+	further := map[string][]int64{}
+	for _, a := range j.order {
+		if a.Attempt == 0 {
+			continue
+		}
+		j.report.Checked[RuleBudget]++
+		from := a.T - int64(j.rules.BudgetSpan)
+		list := slices.DeleteFunc(further[a.Front], func(t int64) bool { return t <= from+int64(j.rules.Skew) })
+		further[a.Front] = append(list, a.T)
+		taken := 0
+		for _, t := range j.asks[a.Front] {
+			if t > from-int64(j.rules.Skew) && t <= a.T {
+				taken++
+			}
+		}
+		if most := j.rules.Spare + j.rules.Ratio*float64(taken); float64(len(further[a.Front])) > most {
+			j.broken(RuleBudget, a.Event, "%d further attempts within %v by front %s, which may make %.1f", len(further[a.Front]),
+				j.rules.BudgetSpan, a.Front, most)
+		}
+	}
+}
+
+// orphans looks for streams that nobody ended.
+func (j *judge) orphans() {
+	if j.finished == 0 {
+		return
+	}
+	for _, a := range j.order {
+		j.report.Checked[RuleOrphans]++
+		if a.stream {
+			j.broken(RuleOrphans, a.Event, "stream %s still plays at server %d when all is over", a.Key(), a.Server)
+		}
+	}
+}
--- /dev/null
+++ b/internal/day/run.go
@@ -0,0 +1,315 @@
+package day
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tealledge/internal/audit"
+	"tealledge/internal/record"
+	"tealledge/internal/standin/listsim"
+	"tealledge/internal/standin/mediasim"
+	"tealledge/internal/standin/playersim"
+)
+
+// Options of a run.
+type Options struct {
+	Command  []string // starts a front; the path of its settings file is added
+	Dir      string   // keeps settings, states and records
+	Baseline string   // "": the decision module
+	Out      io.Writer
+}
+
+// world is a day under way.
+type world struct {
+	s      *Script
+	o      Options
+	rng    *rand.Rand
+	rec    *record.Log
+	farm   *mediasim.Farm
+	list   *listsim.List
+	crowd  *playersim.Crowd
+	fronts []*process
+	mu     sync.Mutex
+	busy   map[uint32]bool // servers that a trouble holds
+	ends   sync.WaitGroup
+}
+
+// process is one front.
+type process struct {
+	w      *world
+	name   string
+	me     int
+	addr   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+	log    *os.File
+}
+
+// Run plays a day and judges it.
+func Run(ctx context.Context, s *Script, o Options) (*audit.Report, error) {
+	rec, err := record.Create(filepath.Join(o.Dir, "record.jsonl"))
+	if err != nil {
+		return nil, err
+	}
+	w := &world{s: s, o: o, rng: rand.New(rand.NewSource(s.Seed)), rec: rec, busy: map[uint32]bool{}}
+	err = w.play(ctx)
+	if cerr := rec.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return nil, err
+	}
+	events, err := record.ReadDir(o.Dir)
+	if err != nil {
+		return nil, err
+	}
+	return audit.Judge(events)
+}
+
+func (w *world) play(ctx context.Context) error {
+	s := w.s
+	w.rec.Add(w.rules().Event())
+	var err error
+	if w.list, err = listsim.New("127.0.0.1:0", w.rec); err != nil {
+		return err
+	}
+	defer w.list.Close()
+	set := s.Service.Service
+	w.farm, err = mediasim.New(mediasim.Params{Ladder: set.RungKB, Slots: s.Slots, LinkKB: s.LinkKB, UplinkKB: s.UplinkKB, Uneven: s.Uneven,
+		Racks: set.Racks, Cells: set.Cells, SetupTime: s.SetupTime, ReportEvery: s.ReportEvery, NotesLate: second(set.SeeLate),
+		TellEvery: second(set.TellEvery), FullFrom: set.FullFrom, Inline: set.Inline, ColdSpan: second(set.ColdSpan), ColdFrom: set.ColdFrom,
+		FallTimes: set.ColdTimes, FallOver: second(set.FallSpan), Keep: s.Keep, Holds: s.holds, Seed: s.Seed}, s.Servers, w.rec)
+	if err != nil {
+		return err
+	}
+	defer w.farm.Close()
+	for _, m := range w.farm.Servers() {
+		w.list.Set(w.entry(m, "ready"))
+	}
+	defer w.stopAll()
+	for i := range s.Fronts {
+		p := &process{w: w, name: fmt.Sprintf("front-%d", i), me: i, addr: "127.0.0.1:0"}
+		w.fronts = append(w.fronts, p)
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	if err := sleep(ctx, 300*time.Millisecond); err != nil { // the first list is in
+		return err
+	}
+	w.crowd = playersim.New(w.rec, s.Seed, 0.88, w.pick)
+	viewers, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var watching sync.WaitGroup
+	began := time.Now()
+	for _, t := range s.Troubles {
+		w.ends.Add(1)
+		go func() {
+			defer w.ends.Done()
+			if sleep(viewers, time.Until(began.Add(t.At))) == nil {
+				w.trouble(viewers, t)
+			}
+		}()
+	}
+	for _, a := range s.arrivals() {
+		if err := sleep(ctx, time.Until(began.Add(a.at))); err != nil {
+			return err
+		}
+		watching.Add(1)
+		go func() {
+			defer watching.Done()
+			w.crowd.Watch(viewers, w.viewer(a))
+		}()
+	}
+	w.ends.Wait()
+	done := make(chan struct{})
+	go func() { watching.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(s.Longest + 3*time.Second):
+	}
+	cancel()
+	<-done
+	w.leave()
+	if err := sleep(ctx, s.Keep+500*time.Millisecond); err != nil {
+		return err
+	}
+	w.rec.Add(record.Event{Who: "day", What: record.Finished})
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// skew is an order of messages on different sockets that is too close to be judged, on a loaded machine.
+const skew = 60 * time.Millisecond
+
+func (w *world) rules() audit.Rules {
+	set := w.s.Service.Service
+	r := audit.Rules{AnswerGrace: 40 * time.Millisecond, DrainGrace: second(set.DrainGrace), Skew: skew, ColdSpan: second(set.ColdSpan),
+		ColdFrom: set.ColdFrom, FallTimes: set.ColdTimes, FallSpan: second(set.FallSpan), Budgeted: set.Budgeted, Spare: set.SpareAttempts,
+		Ratio: set.Ratio, BudgetSpan: second(set.BudgetSpan), RungWorth: set.RungWorth, StallCost: set.StallCost, ChangeCost: set.ChangeCost}
+	for i, k := range set.Classes {
+		r.Classes = append(r.Classes, audit.Class{Name: w.s.Service.Classes[i], Paid: k.Paid, Floor: k.Floor, Seats: k.Seats,
+			Aim: second(k.Aim), Deadline: second(k.Deadline)})
+	}
+	return r
+}
+
+func (w *world) entry(m *mediasim.Server, health string) listsim.Server {
+	kind, zone := "", ""
+	if len(w.s.Service.Kinds) > 0 {
+		kind = w.s.Service.Kinds[0]
+	}
+	if len(w.s.Service.Zones) > 0 {
+		zone = w.s.Service.Zones[0]
+	}
+	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: zone, Kind: kind, Size: 1, Started: m.Started(), Health: health}
+}
+
+func (w *world) viewer(a arrival) playersim.Viewer {
+	class := w.s.Service.Service.Classes[a.class]
+	v := playersim.Viewer{Name: fmt.Sprintf("viewer-%d", a.n), Title: titleName(a.title), Class: w.s.Service.Classes[a.class], ClassN: a.class,
+		Top: a.top, Length: a.watch, Worth: class.Worth}
+	if len(w.s.Service.Tenants) > 0 {
+		v.Tenant = w.s.Service.Tenants[0]
+	}
+	ways := []playersim.Bad{playersim.LeaveAtOnce, playersim.LeaveLater, playersim.HalfFrame, playersim.Garbage, playersim.Unmasked}
+	if a.bad < w.s.Bad {
+		v.Bad = ways[int(a.bad/w.s.Bad*float64(len(ways)))]
+	}
+	return v
+}
+
+// pick spreads viewers unevenly over the fronts.
+func (w *world) pick(n int) (name, addr string) {
+	p := w.fronts[(n+n/7)%len(w.fronts)]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return p.name, p.addr
+}
+
+// ---- Fronts ----
+
+// start starts the process and waits until it serves.
+func (p *process) start() error {
+	dir := filepath.Join(p.w.o.Dir, p.name)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	path := filepath.Join(dir, "settings.sexp")
+	text := p.w.s.Settings(p.name, p.addr, p.w.list.Addr(), filepath.Join(dir, "state"), p.me, p.w.o.Baseline)
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	args := append(append([]string(nil), p.w.o.Command[1:]...), path)
+	p.cmd = exec.Command(p.w.o.Command[0], args...)
+	p.cmd.Stderr = log
+	p.log = log
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("front %s: %w", p.name, err)
+	}
+	ready := make(chan string, 1)
+	p.exited = make(chan struct{})
+	go func() {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			if addr, ok := strings.CutPrefix(lines.Text(), "ready ws://"); ok {
+				addr, _, _ = strings.Cut(addr, "/")
+				ready <- addr
+			}
+		}
+		p.cmd.Wait()
+		log.Close()
+		close(p.exited)
+	}()
+	select {
+	case addr := <-ready:
+		p.w.mu.Lock()
+		p.addr = addr
+		p.w.mu.Unlock()
+		p.w.rec.Add(record.Event{Who: "day", What: record.FrontUp, Front: p.name})
+		return nil
+	case <-p.exited:
+		return fmt.Errorf("front %s ended at its start; its log: %s", p.name, log.Name())
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("front %s does not serve after 10 s", p.name)
+	}
+}
+
+func (p *process) kill() {
+	p.w.rec.Add(record.Event{Who: "day", What: record.Killed, Front: p.name})
+	p.cmd.Process.Signal(syscall.SIGCONT)
+	p.cmd.Process.Kill()
+	<-p.exited
+}
+
+func (p *process) signal(s os.Signal, what string) {
+	if s == syscall.SIGSTOP { // written down before it acts, and its end after
+		p.w.rec.Add(record.Event{Who: "day", What: what, Front: p.name})
+		p.cmd.Process.Signal(s)
+		return
+	}
+	p.cmd.Process.Signal(s)
+	p.w.rec.Add(record.Event{Who: "day", What: what, Front: p.name})
+}
+
+// leave tells all fronts to leave service and waits for them, in bounded time.
+func (w *world) leave() {
+	for _, p := range w.fronts {
+		w.rec.Add(record.Event{Who: "day", What: record.Leaving, Front: p.name})
+		p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, p := range w.fronts {
+		select {
+		case <-p.exited:
+		case <-time.After(15 * time.Second):
+			fmt.Fprintf(w.o.Out, "front %s did not leave in 15 s\n", p.name)
+			p.kill()
+		}
+	}
+}
+
+// stopAll ends what still runs, after a day that was cut short.
+func (w *world) stopAll() {
+	for _, p := range w.fronts {
+		if p.cmd != nil && p.exited != nil {
+			select {
+			case <-p.exited:
+			default:
+				p.kill()
+			}
+		}
+	}
+}
+
+// ErrBroken tells that a rule was broken.
+var ErrBroken = errors.New("a rule was broken")
