Tests of the whole path on sockets; streams left behind by a lost connection are torn down

Change: such a stream, and one whose TEARDOWN was not answered, is torn down by its session id as soon as a connection stands again. A write that raced with a connection's end crashed the front; it no longer does.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -116,6 +116,7 @@
 	answered int64
 	status   int
 	stream   bool
+	told     bool // the answer to PLAY reached the front
 }
 
 type call struct {
@@ -218,6 +219,10 @@
 		if a := j.attempts[e.Key()]; a != nil {
 			a.stream = true
 		}
+	case record.Played:
+		if a := j.attempts[e.Key()]; a != nil && !e.Lost {
+			a.told = true
+		}
 	case record.Teardown:
 		a := j.attempts[e.Key()]
 		if e.Session == "" {
@@ -233,9 +238,9 @@
 		}
 	case record.ConnLost:
 		for _, a := range j.order {
-			// A stream whose answer reached the front may live on over a new connection; whatever else was out is over
+			// A stream whose PLAY's answer reached the front may live on over a new connection; whatever else was out is over
 			// for the front, and what it left at the server ends there by itself.
-			if a.Server == e.Server && a.Front == e.Front && (!a.stream || a.answered == 0) {
+			if a.Server == e.Server && a.Front == e.Front && !(a.stream && a.told && a.answered > 0) {
 				a.end(e.T)
 			}
 		}
--- a/internal/exchange/arrive.go
+++ b/internal/exchange/arrive.go
@@ -28,6 +28,12 @@
 			Headers: []rtsp.Header{{Name: "Session", Value: a.accepted}}}
 		d.push(l, d.request(l, &m, call{kind: callVerify, a: a}, nil))
 	}
+	doomed := l.doomed
+	l.doomed = nil
+	for _, id := range doomed {
+		m := rtsp.Message{Method: rtsp.Teardown, URI: "rtsp://" + l.addr + "/", Headers: []rtsp.Header{{Name: "Session", Value: id}}}
+		d.push(l, d.request(l, &m, call{kind: callTeardown, a: &attempt{over: true}}, nil))
+	}
 	waiting := l.waiting
 	l.waiting = nil
 	for _, a := range waiting {
@@ -46,7 +52,7 @@
 	if l == nil || l.conn != conn || l.state != dialing {
 		return
 	}
-	l.state = down
+	l.state, l.doomed = down, nil // a process that is gone plays nothing
 	d.withdraw(l, fate.DialRefused)
 	for _, a := range slices.Clone(l.live) { // its streams can't be asked for: they are lost
 		d.end(a, policy.ResetConn, nil)
@@ -91,11 +97,19 @@
 			switch {
 			case c.kind == callProbe && !c.done:
 				d.news = append(d.news, front.Probed{Server: l.server, Status: policy.ResetConn, Took: d.now - c.at})
+			case c.kind == callPlay && !gone:
+				d.doom(l, c.a) // accepted, and PLAY may have reached it
+				fallthrough
 			case c.kind == callSetup || c.kind == callPlay:
 				d.end(c.a, fate.Of(progress(c.a, begun), fate.Broke, 0), nil)
+			case c.kind == callTeardown && !gone:
+				d.doom(l, c.a)
 			}
 		}
 	}
+	if gone {
+		l.doomed = nil
+	}
 	for _, a := range slices.Clone(l.live) {
 		a.adrift = true
 		if gone {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,8 +88,12 @@
 	readAt  Time       // when something was last read, or the connection came up
 	callAt  Time       // when the oldest of the unanswered calls was written
 	seqs    []uint32   // unanswered CSeqs in the order written
+	doomed  []string   // streams to be torn down when a connection stands again
 }
 
+// doomedMost bounds the streams remembered for that; the server drops what is past it by its own time-out.
+const doomedMost = 256
+
 type callKind uint8
 
 const (
@@ -313,7 +317,8 @@
 	a.over = true
 	d.forget(a)
 	if l == nil || l.state != up || a.sentOn != l.conn && a.accepted == "" {
-		return // the server drops what was set up on a lost connection
+		d.doom(l, a) // what was set up on a lost connection and never answered, the server drops itself
+		return
 	}
 	m := rtsp.Message{Method: rtsp.Teardown, URI: d.uri(l, a.setup.Title)}
 	if a.accepted != "" {
@@ -324,6 +329,14 @@
 	d.push(l, d.request(l, &m, call{kind: callTeardown, a: a}, nil))
 }
 
+// doom remembers a stream that the server may still play though its connection is lost.
+func (d *Desk) doom(l *line, a *attempt) {
+	if l != nil && a.accepted != "" && len(l.doomed) < doomedMost {
+		l.doomed = append(l.doomed, a.accepted)
+		d.dial(l)
+	}
+}
+
 func (d *Desk) rung(e front.SetRung) {
 	a := d.played[e.Session]
 	if a == nil || !a.playing || a.setup.Attempt != e.Attempt {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -283,6 +283,34 @@
 	}
 }
 
+// A set-up that was accepted plays at the server though its PLAY was never answered: it is torn down as soon as a
+// connection stands again, by its session id.
+func TestAStreamLeftBehindByALostConnectionIsTornDown(t *testing.T) {
+	for name, lose := range map[string]func(b *bench){
+		"broke after SETUP was accepted": func(b *bench) {},
+		"given up on, TEARDOWN unanswered": func(b *bench) {
+			b.d.Do(b.now, front.Abandon{Session: 1, Server: 1, Cause: fate.Expired})
+			b.take()
+		},
+	} {
+		b := newBench(t)
+		b.setup(1)
+		b.connect()
+		b.reply((&rtsp.Message{Status: 200, CSeq: 1}).Set("Session", "q"))
+		lose(b)
+		b.lost(b.d.lines[1].sent)
+		only[front.Ended](b)
+		if b.dials != 2 {
+			t.Fatalf("%s: %d dials", name, b.dials)
+		}
+		b.last()
+		b.connect()
+		if m := b.last(); m == nil || m.Method != rtsp.Teardown || m.Session() != "q" {
+			t.Errorf("%s: %+v", name, m)
+		}
+	}
+}
+
 func TestASilentConnectionIsClosed(t *testing.T) {
 	b := newBench(t)
 	b.plays(1)
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -308,3 +308,11 @@
 
 // LastID gives the id of the request taken last.
 func (c *Core) LastID() uint64 { return c.nextID }
+
+// Ready tells how many servers are listed ready.
+func (c *Core) Ready() (n int) {
+	for _, ready := range c.ready {
+		n += int(count(ready))
+	}
+	return n
+}
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -97,10 +97,7 @@
 		p.buf, p.spare = p.spare[:0], nil
 		p.begun.Add(uint64(len(b))) // under the lock: nothing is written that Begun does not count
 		p.mu.Unlock()
-		_, err := p.conn.Writer().WriteBinary(b)
-		if err == nil {
-			err = p.conn.Writer().Flush()
-		}
+		_, err := p.conn.Write(b) // unlike its Writer, it may race with the connection's end
 		p.mu.Lock()
 		if cap(b) <= spareMost {
 			p.spare = b
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -24,6 +24,7 @@
 	Setup    = "setup"    // a whole SETUP arrived
 	Answer   = "answer"   // the answer to a SETUP was written; Status; Lost: it was dropped on the way
 	Play     = "play"     // a stream began
+	Played   = "played"   // the answer to its PLAY was written; Lost as above
 	Rung     = "rung"     // a stream's rung was set
 	Teardown = "teardown" // a TEARDOWN arrived
 	End      = "end"      // a stream ended
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -507,6 +507,7 @@
 type Snapshot struct {
 	front.Stats
 	Open, Held, Attempts, Calls, QueuePeak int
+	Ready                                  int // servers that are listed ready
 	TurnedAway                             uint64
 }
 
@@ -514,7 +515,7 @@
 	held, calls := s.desk.Counts()
 	_, peak, turned := s.queue.stats()
 	return Snapshot{Stats: s.core.Stats(), Open: s.core.Open(), Held: s.core.Held(), Attempts: held, Calls: calls,
-		QueuePeak: peak, TurnedAway: turned}
+		QueuePeak: peak, Ready: s.core.Ready(), TurnedAway: turned}
 }
 
 // Inspect gives a snapshot; it fails if the front has left.
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,564 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gobwas/ws/wsutil"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"tealledge/decide/admit"
+	"tealledge/internal/audit"
+	"tealledge/internal/config"
+	"tealledge/internal/record"
+	"tealledge/internal/standin/listsim"
+	"tealledge/internal/standin/mediasim"
+	"tealledge/internal/standin/playersim"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"), // the library's pollers live on
+		goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.newDefaultPool"),
+		goleak.IgnoreAnyFunction("github.com/bytedance/gopkg/util/gopool.(*worker).run.func1"),
+		goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"), goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+const service = `
+(service
+  (ladder (rung 200 0.25) (rung 400 0.6) (rung 800 1))
+  (classes
+    (class "safe" (aim 1s) (deadline 2s) (worth 3))
+    (class "paid" (aim 1s) (deadline 1500ms) (worth 2) (effect paid) (seats 3))
+    (class "floored" (aim 1s) (deadline 2s) (worth 1) (floor 1)))
+  (kinds (kind "std" (slots 2000)))
+  (zones "z") (zone "z")
+  (cells 3) (racks 1) (weight-kb 1000000) (rack-kb 3000000) (fleet-kb 3000000)
+  (reports link uplink) (reports-inline yes) (may-probe yes)
+  (notes-late 200ms) (stall-cost 8) (change-cost 0.5)
+  (max-attempts 4) (retry-after-most 1s) (connect-wait 250ms) (drain-grace 250ms) (price-move 0.01))
+(titles (title "a" (home 0) (copies 3)) (title "b" (home 0) (copies 1)))`
+
+// site is a front with its stand-ins, in one process.
+type site struct {
+	t    *testing.T
+	rec  *record.Log
+	farm *mediasim.Farm
+	list *listsim.List
+	s    *Server
+	dir  string
+	stop context.CancelFunc
+	done chan error
+}
+
+func newSite(t *testing.T, more string) *site {
+	t.Helper()
+	x := &site{t: t, rec: record.Memory(), dir: t.TempDir()}
+	cfg, err := config.Parse("t", x.settings("127.0.0.1:1", more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.rec.Add(rules(cfg).Event())
+	if x.farm, err = mediasim.New(mediasim.Params{Ladder: cfg.Service.RungKB, Slots: 2000, LinkKB: 1e6, UplinkKB: 3e6, Racks: 1, Cells: 3,
+		SetupTime: time.Millisecond, ReportEvery: 50 * time.Millisecond, NotesLate: 200 * time.Millisecond, Inline: true,
+		Keep: 400 * time.Millisecond, Seed: 1}, 3, x.rec); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(x.farm.Close)
+	if x.list, err = listsim.New("127.0.0.1:0", x.rec); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(x.list.Close)
+	for _, m := range x.farm.Servers() {
+		x.list.Set(listed(m, "ready"))
+	}
+	x.start(more)
+	return x
+}
+
+func listed(m *mediasim.Server, health string) listsim.Server {
+	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: "z", Kind: "std", Size: 1, Started: m.Started(), Health: health}
+}
+
+func rules(cfg *config.Config) audit.Rules {
+	r := audit.Rules{AnswerGrace: 100 * time.Millisecond, DrainGrace: 250 * time.Millisecond, Skew: 80 * time.Millisecond}
+	for i, k := range cfg.Service.Classes {
+		r.Classes = append(r.Classes, audit.Class{Name: cfg.Classes[i], Paid: k.Paid, Floor: k.Floor, Seats: k.Seats,
+			Aim: time.Duration(k.Aim), Deadline: time.Duration(k.Deadline)})
+	}
+	return r
+}
+
+func (x *site) settings(list, more string) string {
+	return fmt.Sprintf("(front (name \"f\") (list (consul %q)) (state %q) %s)", list, filepath.Join(x.dir, "state"), more) + service
+}
+
+func (x *site) start(more string) {
+	x.t.Helper()
+	cfg, err := config.Parse("t", x.settings(x.list.Addr(), more))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	if x.s, err = New(cfg, zerolog.New(zerolog.NewTestWriter(x.t)).Level(zerolog.WarnLevel)); err != nil {
+		x.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	x.stop, x.done = stop, make(chan error, 1)
+	go func(s *Server, done chan error) { done <- s.Run(ctx) }(x.s, x.done)
+	x.t.Cleanup(x.end)
+	x.until("the list is in", func() bool { return x.look().ready == 3 })
+}
+
+type view struct {
+	Snapshot
+	ready int
+}
+
+func (x *site) look() view {
+	snap, err := x.s.Inspect(context.Background())
+	if err != nil {
+		return view{}
+	}
+	return view{snap, snap.Ready}
+}
+
+// end has the front leave, once, in bounded time.
+func (x *site) end() {
+	if x.stop == nil {
+		return
+	}
+	x.stop()
+	select {
+	case err := <-x.done:
+		if err != nil {
+			x.t.Error(err)
+		}
+	case <-time.After(10 * time.Second):
+		x.t.Error("the front did not leave in 10 s")
+	}
+	x.stop = nil
+}
+
+func (x *site) until(what string, ok func() bool) {
+	x.t.Helper()
+	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			x.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// judge ends the front and judges what crossed the sockets.
+func (x *site) judge() *audit.Report {
+	x.t.Helper()
+	x.rec.Add(record.Event{What: record.Leaving, Front: "f"})
+	x.end()
+	x.until("streams end", func() bool { return x.farm.Streams() == 0 })
+	x.rec.Add(record.Event{What: record.Finished})
+	r, err := audit.Judge(x.rec.Events())
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		x.t.Error(v)
+	}
+	return r
+}
+
+// player is a client whose asks are recorded.
+type player struct {
+	x  *site
+	nc net.Conn
+	n  int
+}
+
+type answer struct {
+	ID     string
+	Method string
+	Params map[string]any
+	Result *struct {
+		Status, Session, Server, URI string
+		Rung                         int
+		Rate                         float64
+	}
+	Error *struct {
+		Code    int
+		Message string
+		Data    struct {
+			Session      string
+			RetryAfterMs int64
+		}
+	}
+}
+
+func (x *site) player() *player {
+	x.t.Helper()
+	nc, err := playersim.Dial(context.Background(), x.s.Addr())
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	x.t.Cleanup(func() { nc.Close() })
+	return &player{x: x, nc: nc}
+}
+
+var classes = map[string]int{"safe": 0, "paid": 1, "floored": 2}
+
+func (p *player) ask(class, title string) string {
+	p.n++
+	call := fmt.Sprintf("%p-%d", p, p.n)
+	p.x.rec.Add(record.Event{What: record.Ask, Front: "f", Call: call, Class: classes[class]})
+	text := fmt.Sprintf(`{"jsonrpc":"2.0","method":"session.open","params":{"title":%q,"class":%q,"viewer":%q},"id":%q}`, title, class, call, call)
+	if err := wsutil.WriteClientText(p.nc, []byte(text)); err != nil {
+		p.x.t.Fatal(err)
+	}
+	return call
+}
+
+func (p *player) read() (a answer) {
+	p.x.t.Helper()
+	p.nc.SetReadDeadline(time.Now().Add(8 * time.Second))
+	text, err := wsutil.ReadServerText(p.nc)
+	if err != nil {
+		p.x.t.Fatal(err)
+	}
+	if err := json.Unmarshal(text, &a); err != nil {
+		p.x.t.Fatalf("%s: %v", text, err)
+	}
+	if a.ID != "" && strings.HasPrefix(a.ID, "0x") {
+		e := record.Event{What: record.Reply, Front: "f", Call: a.ID, Text: "error"}
+		switch {
+		case a.Result != nil:
+			e.Text, e.Session = a.Result.Status, strings.TrimPrefix(a.Result.Session, "f-")
+		case a.Error.Code == -32001:
+			e.Text, e.Session = "refused", strings.TrimPrefix(a.Error.Data.Session, "f-")
+		case a.Error.Code == -32002:
+			e.Text, e.Session = "failed", strings.TrimPrefix(a.Error.Data.Session, "f-")
+		}
+		p.x.rec.Add(e)
+	}
+	return a
+}
+
+func (p *player) open(class, title string) answer {
+	p.x.t.Helper()
+	p.ask(class, title)
+	return p.read()
+}
+
+func TestASessionPlaysAndIsClosed(t *testing.T) {
+	x := newSite(t, "")
+	p := x.player()
+	a := p.open("floored", "a")
+	if a.Result == nil || a.Result.Status != "plays" || a.Result.Rung < 1 || a.Result.Rate < 400 || !strings.HasPrefix(a.Result.URI, "rtsp://127.0.0.1:") {
+		t.Fatalf("%+v", a)
+	}
+	if n := x.farm.Streams(); n != 1 {
+		t.Fatal(n, "streams")
+	}
+	other := x.player()
+	wsutil.WriteClientText(other.nc, fmt.Appendf(nil, `{"jsonrpc":"2.0","method":"session.close","params":{"session":%q},"id":"c"}`, a.Result.Session))
+	if b := other.read(); b.Error == nil || b.Error.Code != -32003 {
+		t.Fatalf("another player closed it: %+v", b)
+	}
+	wsutil.WriteClientText(p.nc, fmt.Appendf(nil, `{"jsonrpc":"2.0","method":"session.close","params":{"session":%q},"id":"c"}`, a.Result.Session))
+	if b := p.read(); b.Result == nil || b.Result.Status != "closed" {
+		t.Fatalf("%+v", b)
+	}
+	x.until("torn down", func() bool { return x.farm.Streams() == 0 })
+	if r := x.judge(); r.Replies["plays"] != 1 {
+		t.Fatal(r.Replies)
+	}
+}
+
+func TestBatchIsAnsweredAsOne(t *testing.T) {
+	x := newSite(t, "")
+	p := x.player()
+	open := func(id string) string {
+		return fmt.Sprintf(`{"jsonrpc":"2.0","method":"session.open","params":{"title":"a","class":"safe","viewer":"v"},"id":%q}`, id)
+	}
+	wsutil.WriteClientText(p.nc, []byte("["+open("q")+`,{"jsonrpc":"2.0","method":"nothing"},{"jsonrpc":"2.0","method":"x","id":"r"},`+open("s")+"]"))
+	text, err := wsutil.ReadServerText(p.nc)
+	var list []answer
+	if err != nil || json.Unmarshal(text, &list) != nil || len(list) != 3 || list[0].Result == nil || list[1].Error.Code != -32601 || list[2].Result == nil {
+		t.Fatalf("%s, %v", text, err)
+	}
+}
+
+func TestBadParametersAreToldAndNothingIsBegun(t *testing.T) {
+	x := newSite(t, "")
+	p := x.player()
+	for params, code := range map[string]int{
+		`{"title":"a","class":"safe"}`:                              -32602,
+		`{"title":"a","class":"none","viewer":"v"}`:                 -32602,
+		`{"title":"zzz","class":"safe","viewer":"v"}`:               -32005,
+		`{"title":"a","class":"safe","viewer":"v","top":9}`:         -32602,
+		`{"title":"a","class":"safe","viewer":"v","tenant":"x"}`:    -32602,
+		`{"title":"a","class":"safe","viewer":"v","more":1}`:        -32602,
+		`{"title":"a","class":"safe","viewer":"v","token":"q"}`:     -32602,
+		`{"title":"a","class":"safe","viewer":"v","deadlineMs":-1}`: -32602,
+		`["a"]`: -32602,
+		`{"title":"` + strings.Repeat("x", 300) + `","class":"safe","viewer":"v"}`: -32602,
+	} {
+		wsutil.WriteClientText(p.nc, []byte(`{"jsonrpc":"2.0","method":"session.open","id":"q","params":`+params+`}`))
+		if a := p.read(); a.Error == nil || a.Error.Code != code {
+			t.Errorf("%.60s: %+v", params, a)
+		}
+	}
+	if x.look().Taken != 0 {
+		t.Error("something was taken")
+	}
+}
+
+func TestAStalledServerIsGivenUpOnAndTheNextOnePlays(t *testing.T) {
+	x := newSite(t, "")
+	first := x.player().open("safe", "a") // the server that answered is known to be idle: the next one goes there too
+	for _, m := range x.farm.Servers() {
+		if m.Addr() == first.Result.Server {
+			m.Fault(func(f *mediasim.Faults) { f.Stalled = true })
+		}
+	}
+	began := time.Now()
+	a := x.player().open("safe", "a")
+	if a.Result == nil || a.Result.Server == first.Result.Server || time.Since(began) > time.Second {
+		t.Fatalf("%+v after %v", a, time.Since(began))
+	}
+	for _, m := range x.farm.Servers() {
+		m.Fault(func(f *mediasim.Faults) { f.Stalled = false })
+	}
+	if r := x.judge(); r.Further == 0 || r.Replies["plays"] != 2 {
+		t.Fatal(r.Further, r.Replies)
+	}
+}
+
+func TestAPaidSetUpThatMayHaveRunFailsAndIsNeverSentAgain(t *testing.T) {
+	for name, fault := range map[string]func(*mediasim.Faults){
+		"stalled":     func(f *mediasim.Faults) { f.Stalled = true },
+		"answer lost": func(f *mediasim.Faults) { f.Lose = 1 },
+		"half reply":  func(f *mediasim.Faults) { f.Half = 1 },
+		"garbage":     func(f *mediasim.Faults) { f.Garbage = 1 },
+		"fast error":  func(f *mediasim.Faults) { f.Errors = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newSite(t, "")
+			for _, m := range x.farm.Servers() {
+				m.Fault(fault)
+			}
+			if a := x.player().open("paid", "a"); a.Error == nil || a.Error.Code != -32002 {
+				t.Fatalf("%+v", a)
+			}
+			for _, m := range x.farm.Servers() {
+				m.Fault(func(f *mediasim.Faults) { *f = mediasim.Faults{} })
+			}
+			if r := x.judge(); r.Setups != 1 {
+				t.Fatal(r.Setups, "set-ups")
+			}
+		})
+	}
+}
+
+func TestPlayersThatLeaveMidRequestLeaveNoStream(t *testing.T) {
+	x := newSite(t, "")
+	for i := range 30 {
+		p := x.player()
+		call := p.ask([]string{"safe", "paid"}[i%2], "a")
+		time.Sleep(time.Duration(i) * 200 * time.Microsecond)
+		x.rec.Add(record.Event{What: record.Left, Front: "f", Call: call})
+		p.nc.Close()
+	}
+	x.until("all forgotten", func() bool { v := x.look(); return v.Held == 0 && v.Attempts == 0 })
+	x.until("no stream is left", func() bool { return x.farm.Streams() == 0 })
+	x.judge()
+}
+
+func TestNothingNewAtADrainingServer(t *testing.T) {
+	x := newSite(t, "")
+	x.list.Set(listed(x.farm.Server(1), "draining"))
+	x.farm.Server(2).Redirect() // it has no connection yet, so nobody hears
+	if a := x.player().open("safe", "a"); a.Result == nil {
+		t.Fatalf("%+v", a)
+	}
+	x.until("told", func() bool { return x.look().Ready == 2 })
+	for range 10 {
+		if a := x.player().open("safe", "a"); a.Result == nil || a.Result.Server == x.farm.Server(1).Addr() {
+			t.Fatalf("%+v", a)
+		}
+	}
+	x.until("the only holder drains", func() bool {
+		a := x.player().open("safe", "b") // title b lies on server 1 only
+		return a.Error != nil && a.Error.Code == -32001 && a.Error.Data.RetryAfterMs > 0
+	})
+	x.judge()
+}
+
+func TestAServerThatDiesEndsItsSessions(t *testing.T) {
+	x := newSite(t, "")
+	p := x.player()
+	a := p.open("safe", "b")
+	x.farm.Server(1).Kill()
+	if b := p.read(); b.Method != "session.ended" || b.Params["reason"] != "lost" || b.Params["session"] != a.Result.Session {
+		t.Fatalf("%+v", b)
+	}
+	q := x.player()
+	x.until("refused or failed, in time", func() bool { return q.open("safe", "b").Error != nil })
+	x.judge()
+}
+
+func TestATitleThatIsOverEndsItsSession(t *testing.T) {
+	x := newSite(t, "")
+	p := x.player()
+	p.open("safe", "b")
+	x.farm.Server(1).EndStreams()
+	if b := p.read(); b.Method != "session.ended" || b.Params["reason"] != "end" {
+		t.Fatalf("%+v", b)
+	}
+	x.judge()
+}
+
+func TestSessionsOutliveALostConnection(t *testing.T) {
+	x := newSite(t, "")
+	p := x.player()
+	p.open("safe", "b")
+	x.farm.Server(1).Fault(func(f *mediasim.Faults) { f.Half = 1 }) // the next answer breaks the connection
+	x.player().open("safe", "b")
+	x.farm.Server(1).Fault(func(f *mediasim.Faults) { *f = mediasim.Faults{} })
+	time.Sleep(600 * time.Millisecond) // longer than a stream lives without a connection
+	if n := x.farm.Streams(); n != 1 {
+		t.Fatal(n, "streams")
+	}
+	x.judge()
+}
+
+func TestARestartedFrontKnowsItsLastList(t *testing.T) {
+	x := newSite(t, "")
+	x.until("kept", func() bool { _, err := os.Stat(filepath.Join(x.dir, "state", "servers.sexp")); return err == nil })
+	x.end()
+	x.list.Fail(true)
+	x.start("")
+	if a := x.player().open("safe", "a"); a.Result == nil {
+		t.Fatalf("%+v", a)
+	}
+	x.end()
+	path := filepath.Join(x.dir, "state", "servers.sexp")
+	text, _ := os.ReadFile(path)
+	os.WriteFile(path, text[:len(text)/2], 0o644)
+	x.list.Fail(false)
+	x.start("") // a damaged list is not used; the service's is
+	x.judge()
+}
+
+func TestAnEmptiedListIsNotBelieved(t *testing.T) {
+	x := newSite(t, "")
+	x.list.Empty(true)
+	time.Sleep(300 * time.Millisecond)
+	if a := x.player().open("safe", "a"); a.Result == nil {
+		t.Fatalf("%+v", a)
+	}
+	x.list.Empty(false)
+	x.list.Rewind()
+	time.Sleep(200 * time.Millisecond)
+	if v := x.look(); v.Ready != 3 {
+		t.Fatal(v.Ready)
+	}
+	x.judge()
+}
+
+func TestLeavingAnswersWhatIsHeldAndEndsInTime(t *testing.T) {
+	x := newSite(t, "")
+	playing := x.player()
+	playing.open("safe", "a")
+	for _, m := range x.farm.Servers() {
+		m.Fault(func(f *mediasim.Faults) { f.Stalled = true })
+	}
+	waits := x.player()
+	waits.ask("safe", "a")
+	x.until("taken", func() bool { return x.look().Open == 1 })
+	x.rec.Add(record.Event{What: record.Leaving, Front: "f"})
+	began := time.Now()
+	x.stop()
+	if a := waits.read(); a.Error == nil {
+		t.Fatalf("%+v", a)
+	}
+	if a := playing.read(); a.Method != "session.ended" || a.Params["reason"] != "leaving" {
+		t.Fatalf("%+v", a)
+	}
+	x.end()
+	if d := time.Since(began); d > 5*time.Second {
+		t.Fatal(d)
+	}
+	for _, m := range x.farm.Servers() {
+		m.Fault(func(f *mediasim.Faults) { f.Stalled = false })
+	}
+	x.judge()
+}
+
+func TestManySessionsLeaveNothingBehind(t *testing.T) {
+	x := newSite(t, "")
+	files := func() int { list, _ := os.ReadDir("/proc/self/fd"); return len(list) }
+	p := x.player()
+	var before int
+	for i := range 1000 {
+		a := p.open("safe", "a")
+		if a.Result == nil {
+			t.Fatalf("%d: %+v", i, a)
+		}
+		wsutil.WriteClientText(p.nc, fmt.Appendf(nil, `{"jsonrpc":"2.0","method":"session.close","params":{"session":%q},"id":"c"}`, a.Result.Session))
+		p.read()
+		if i == 100 {
+			before = files()
+		}
+	}
+	if after := files(); after > before+8 { // a connection to a server not used before counts twice here
+		t.Errorf("%d descriptors, %d before", after, before)
+	}
+	v := x.look()
+	if v.Held != 0 || v.Attempts != 0 || v.Faults != 0 || v.Stats.Plays != 1000 {
+		t.Errorf("%+v", v)
+	}
+	x.judge()
+}
+
+func TestAFullQueueTurnsAsksAwayAndKeepsNews(t *testing.T) {
+	q := newQueue(16)
+	for i := range 8 {
+		if !q.put(admit.Ask, i) {
+			t.Fatal("turned away too early")
+		}
+	}
+	if q.put(admit.Ask, 8) {
+		t.Fatal("an ask past its part")
+	}
+	for i := 8; i < 16; i++ {
+		if !q.put(admit.News, i) {
+			t.Fatal("news turned away")
+		}
+	}
+	got := make(chan bool)
+	go func() { got <- q.put(admit.News, 16) }()
+	select {
+	case <-got:
+		t.Fatal("did not wait")
+	case <-time.After(20 * time.Millisecond):
+	}
+	q.force(99) // the end of a connection always gets in
+	list := q.take(10, nil)
+	if len(list) != 10 || list[0] != 0 || !<-got {
+		t.Fatal(list)
+	}
+	if rest := q.take(100, nil); len(rest) != 8 || rest[6] != 99 {
+		t.Fatal(rest)
+	}
+	go func() { got <- q.put(admit.News, 1) }()
+	<-got
+	q.close()
+	if q.put(admit.News, 1) {
+		t.Fatal("taken after its end")
+	}
+}
--- a/internal/standin/mediasim/serve.go
+++ b/internal/standin/mediasim/serve.go
@@ -66,9 +66,10 @@
 			reply.Status = rtsp.StatusSessionNotFound
 		default:
 			st.playing = true
-			k := st.key
+			k := st.key // the stream may be torn down before its answer is written
 			k.T, k.What, k.Rung = 0, record.Play, st.rung
 			s.farm.rec.Add(k)
+			e = &k
 			if s.farm.p.Inline {
 				reply.Set("Content-Type", "text/parameters")
 				reply.Body = s.report()
@@ -113,7 +114,10 @@
 		c.write(b)
 	}
 	if e != nil {
-		e.What, e.Status, e.Lost = record.Answer, reply.Status, lose || garbage || half
+		e.T, e.What, e.Status, e.Lost = 0, record.Answer, reply.Status, lose || garbage || half
+		if m.Method == rtsp.Play {
+			e.What = record.Played
+		}
 		s.farm.rec.Add(*e)
 	}
 	if half {
