Load tool and measurement of a front beside a bare WebSocket echo

Need: the front's cost must be known as a ratio, in one run.

Change: internal/load sends open-loop arrivals (Poisson, classes of thirty, ramps) or closed loops, counts each answer from when its request was due, and runs misbehaving players beside; tealledge load and tealledge measure use it.

--- a/cmd/tealledge/demo.go
+++ b/cmd/tealledge/demo.go
@@ -26,6 +26,7 @@
 type standinCmd struct {
 	Media standinMediaCmd `cmd:"" help:"Media servers on loopback; prints one (server ...) line each."`
 	List  standinListCmd  `cmd:"" help:"A Consul-like list of the servers that are read from standard input."`
+	Echo  standinEchoCmd  `cmd:"" help:"A bare WebSocket echo, to measure a front against."`
 }
 
 type standinMediaCmd struct {
--- a/cmd/tealledge/main.go
+++ b/cmd/tealledge/main.go
@@ -24,6 +24,8 @@
 	Play    playCmd    `cmd:"" help:"Open one session at a front and watch it for a while."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in alone."`
 	Day     dayCmd     `cmd:"" help:"Play a scripted day against stand-ins and judge what crossed the sockets."`
+	Load    loadCmd    `cmd:"" help:"Load a front with players, open loop; without an address, against stand-ins of its own."`
+	Measure measureCmd `cmd:"" help:"Measure a front beside a bare WebSocket echo, in one run."`
 	Audit   auditCmd   `cmd:"" help:"Judge the records of a day."`
 }
 
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -28,6 +27,7 @@
 	Dir      string   // keeps settings, states and records
 	Baseline string   // "": the decision module
 	Out      io.Writer
+	NoRecord bool // for measuring only: nothing is written down, nothing can be judged
 }
 
 // world is a day under way.
@@ -58,34 +58,43 @@
 
 // Run plays a day and judges it.
 func Run(ctx context.Context, s *Script, o Options) (*audit.Report, error) {
-	rec, err := record.Create(filepath.Join(o.Dir, "record.jsonl"))
+	w, err := Open(ctx, s, o)
 	if err != nil {
 		return nil, err
 	}
-	w := &world{s: s, o: o, rng: rand.New(rand.NewSource(s.Seed)), rec: rec, busy: map[uint32]bool{}}
-	err = w.play(ctx)
-	if cerr := rec.Close(); err == nil {
-		err = cerr
-	}
-	if err != nil {
+	defer w.Close()
+	if err := w.play(ctx); err != nil {
 		return nil, err
 	}
-	events, err := record.ReadDir(o.Dir)
-	if err != nil {
+	return w.Judge(ctx)
+}
+
+// World is a day's stand-ins and fronts, running.
+type World = world
+
+// Open starts stand-ins and fronts. Close is to be called in any case.
+func Open(ctx context.Context, s *Script, o Options) (*World, error) {
+	var rec *record.Log
+	if !o.NoRecord {
+		var err error
+		if rec, err = record.Create(filepath.Join(o.Dir, "record.jsonl")); err != nil {
+			return nil, err
+		}
+	}
+	w := &world{s: s, o: o, rng: rand.New(rand.NewSource(s.Seed)), rec: rec, busy: map[uint32]bool{}}
+	w.rec.Add(w.rules().Event())
+	if err := w.open(ctx); err != nil {
+		w.Close()
 		return nil, err
 	}
-	return audit.Judge(events)
+	return w, nil
 }
 
-func (w *world) play(ctx context.Context) error {
-	s := w.s
-	w.rec.Add(w.rules().Event())
-	var err error
+func (w *world) open(ctx context.Context) (err error) {
+	s, set := w.s, w.s.Service.Service
 	if w.list, err = listsim.New("127.0.0.1:0", w.rec); err != nil {
 		return err
 	}
-	defer w.list.Close()
-	set := s.Service.Service
 	w.farm, err = mediasim.New(mediasim.Params{Ladder: set.RungKB, Slots: s.Slots, LinkKB: s.LinkKB, UplinkKB: s.UplinkKB, Uneven: s.Uneven,
 		Racks: set.Racks, Cells: set.Cells, SetupTime: s.SetupTime, ReportEvery: s.ReportEvery, NotesLate: second(set.SeeLate),
 		TellEvery: second(set.TellEvery), FullFrom: set.FullFrom, Inline: set.Inline, ColdSpan: second(set.ColdSpan), ColdFrom: set.ColdFrom,
@@ -93,11 +102,9 @@
 	if err != nil {
 		return err
 	}
-	defer w.farm.Close()
 	for _, m := range w.farm.Servers() {
 		w.list.Set(w.entry(m, "ready"))
 	}
-	defer w.stopAll()
 	for i := range s.Fronts {
 		p := &process{w: w, name: fmt.Sprintf("front-%d", i), me: i, addr: "127.0.0.1:0"}
 		w.fronts = append(w.fronts, p)
@@ -105,24 +112,73 @@
 			return err
 		}
 	}
-	if err := sleep(ctx, 300*time.Millisecond); err != nil { // the first list is in
-		return err
+	return sleep(ctx, 300*time.Millisecond) // the first list is in
+}
+
+// Close ends whatever still runs.
+func (w *world) Close() {
+	w.stopAll()
+	if w.farm != nil {
+		w.farm.Close()
 	}
-	w.crowd = playersim.New(w.rec, s.Seed, 0.88, w.pick)
-	viewers, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var watching sync.WaitGroup
+	if w.list != nil {
+		w.list.Close()
+	}
+	w.rec.Close()
+}
+
+// Record is where players write down what crossed their sockets.
+func (w *world) Record() *record.Log { return w.rec }
+
+// Front gives a front's name and address; n wraps round.
+func (w *world) Front(n int) (name, addr string) {
+	p := w.fronts[n%len(w.fronts)]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return p.name, p.addr
+}
+
+// Pid gives a front's process.
+func (w *world) Pid(n int) int { return w.fronts[n].cmd.Process.Pid }
+
+// Troubles plays the script's troubles from now on; what it gives waits for their end.
+func (w *world) Troubles(ctx context.Context) (wait func()) {
 	began := time.Now()
-	for _, t := range s.Troubles {
+	for _, t := range w.s.Troubles {
 		w.ends.Add(1)
 		go func() {
 			defer w.ends.Done()
-			if sleep(viewers, time.Until(began.Add(t.At))) == nil {
-				w.trouble(viewers, t)
+			if sleep(ctx, time.Until(began.Add(t.At))) == nil {
+				w.trouble(ctx, t)
 			}
 		}()
 	}
-	for _, a := range s.arrivals() {
+	return w.ends.Wait
+}
+
+// Judge has the fronts leave, lets what is left over end, and judges the record.
+func (w *world) Judge(ctx context.Context) (*audit.Report, error) {
+	w.leave()
+	if err := sleep(ctx, w.s.Keep+500*time.Millisecond); err != nil {
+		return nil, err
+	}
+	w.rec.Add(record.Event{Who: "day", What: record.Finished})
+	w.Close()
+	events, err := record.ReadDir(w.o.Dir)
+	if err != nil {
+		return nil, err
+	}
+	return audit.Judge(events)
+}
+
+func (w *world) play(ctx context.Context) error {
+	w.crowd = playersim.New(w.rec, w.s.Seed, 0.88, func(n int) (string, string) { return w.Front(n + n/7) }) // unevenly
+	viewers, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait := w.Troubles(viewers)
+	var watching sync.WaitGroup
+	began := time.Now()
+	for _, a := range w.s.arrivals() {
 		if err := sleep(ctx, time.Until(began.Add(a.at))); err != nil {
 			return err
 		}
@@ -132,20 +188,15 @@
 			w.crowd.Watch(viewers, w.viewer(a))
 		}()
 	}
-	w.ends.Wait()
+	wait()
 	done := make(chan struct{})
 	go func() { watching.Wait(); close(done) }()
 	select {
 	case <-done:
-	case <-time.After(s.Longest + 3*time.Second):
+	case <-time.After(w.s.Longest + 3*time.Second):
 	}
 	cancel()
 	<-done
-	w.leave()
-	if err := sleep(ctx, s.Keep+500*time.Millisecond); err != nil {
-		return err
-	}
-	w.rec.Add(record.Event{Who: "day", What: record.Finished})
 	return nil
 }
 
@@ -201,14 +252,6 @@
 	return v
 }
 
-// pick spreads viewers unevenly over the fronts.
-func (w *world) pick(n int) (name, addr string) {
-	p := w.fronts[(n+n/7)%len(w.fronts)]
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return p.name, p.addr
-}
-
 // ---- Fronts ----
 
 // start starts the process and waits until it serves.
@@ -310,6 +353,3 @@
 		}
 	}
 }
-
-// ErrBroken tells that a rule was broken.
-var ErrBroken = errors.New("a rule was broken")
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand"
 	"os"
+	"regexp"
 	"strconv"
 	"time"
 
@@ -20,6 +21,9 @@
 //go:embed bad.sexp
 var badDay string
 
+//go:embed quiet.sexp
+var quietDay string
+
 // Script is a whole day.
 type Script struct {
 	Seed            int64
@@ -84,6 +88,25 @@
 // Bad gives the built-in bad day.
 func Bad() (*Script, error) { return Parse("bad.sexp", badDay) }
 
+// Quiet gives the built-in quiet day.
+func Quiet() (*Script, error) { return Parse("quiet.sexp", quietDay) }
+
+// TitleNames gives the titles that the day knows.
+func (s *Script) TitleNames() (list []string) {
+	for i := range s.Titles {
+		list = append(list, titleName(i))
+	}
+	return list
+}
+
+// Scale has the fronts told of links as large as the stand-ins' are, after those were changed.
+func (s *Script) Scale() {
+	for _, f := range [][2]string{{"weight-kb", fmt.Sprint(int64(s.LinkKB))}, {"rack-kb", fmt.Sprint(int64(s.UplinkKB))},
+		{"fleet-kb", fmt.Sprint(int64(s.LinkKB) * int64(s.Servers))}, {"slots", fmt.Sprint(int64(s.Slots))}} {
+		s.ServiceText = regexp.MustCompile(`\(`+f[0]+` [^)]*\)`).ReplaceAllString(s.ServiceText, "("+f[0]+" "+f[1]+")")
+	}
+}
+
 // Load reads a script from a file.
 func Load(path string) (*Script, error) {
 	text, err := os.ReadFile(path)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -132,12 +132,17 @@
 
 // Close ends the file.
 func (l *Log) Close() error {
-	if l == nil || l.w == nil {
+	if l == nil {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return errors.Join(l.err, l.w.Flush(), l.c.Close())
+	if l.w == nil {
+		return nil
+	}
+	err := errors.Join(l.err, l.w.Flush(), l.c.Close())
+	l.w = nil // what comes later is dropped
+	return err
 }
 
 func sorted(list []Event) []Event {
--- a/internal/standin/listsim/listsim.go
+++ b/internal/standin/listsim/listsim.go
@@ -65,8 +65,10 @@
 // Close ends the service.
 func (l *List) Close() {
 	l.mu.Lock()
-	l.closed = true
-	l.bump()
+	if !l.closed {
+		l.closed = true
+		l.bump()
+	}
 	l.mu.Unlock()
 	l.srv.Close()
 }
--- a/internal/standin/mediasim/farm.go
+++ b/internal/standin/mediasim/farm.go
@@ -47,6 +47,7 @@
 	uplinks []float64 // kB a second
 	sag     []float64 // part of the uplink that is left
 	stop    chan struct{}
+	once    sync.Once
 	done    sync.WaitGroup
 }
 
@@ -104,7 +105,7 @@
 
 // Close ends all servers.
 func (f *Farm) Close() {
-	close(f.stop)
+	f.once.Do(func() { close(f.stop) })
 	for _, s := range f.servers {
 		s.end("farm closed", false)
 	}
--- a/internal/standin/mediasim/serve.go
+++ b/internal/standin/mediasim/serve.go
@@ -21,8 +21,8 @@
 		if j.m.Method == "" {
 			continue // an answer to a request of ours
 		}
-		if j.m.Method == rtsp.Setup {
-			time.Sleep(time.Until(j.at.Add(c.s.setupTime())))
+		if d := c.s.setupTime(); j.m.Method == rtsp.Setup && d > 0 {
+			time.Sleep(time.Until(j.at.Add(d)))
 		}
 		c.answer(j.m)
 	}
@@ -150,7 +150,8 @@
 	}
 	s.next++
 	st := &stream{id: fmt.Sprintf("%d-%x-%d", s.ID, s.farm.rng.Uint32(), s.next), pipe: m.Get("Pipelined-Requests"),
-		key: key, rung: key.Rung, conn: c}
+		key: key, rung: key.Rung, conn: c, origin: c}
+	c.pipes[st.pipe] = st
 	s.streams[st.id] = st
 	reply.Set("Session", fmt.Sprintf("%s;timeout=%d", st.id, max(int(p.Keep/time.Second), 1)))
 	return rtsp.StatusOK
@@ -171,13 +172,7 @@
 		}
 		return st
 	}
-	pipe := m.Get("Pipelined-Requests")
-	for _, st := range s.streams {
-		if st.conn == c && st.pipe == pipe && pipe != "" {
-			return st
-		}
-	}
-	return nil
+	return c.pipes[m.Get("Pipelined-Requests")]
 }
 
 func (s *Server) setRung(c *conn, m *rtsp.Message, reply *rtsp.Message) {
--- a/internal/standin/mediasim/server.go
+++ b/internal/standin/mediasim/server.go
@@ -53,6 +53,7 @@
 	rung     int
 	playing  bool
 	conn     *conn
+	origin   *conn     // where it was set up
 	lostAt   time.Time // its connection was lost then
 	wasShort bool
 }
@@ -67,6 +68,7 @@
 	front string
 	noted time.Time
 	told  time.Time
+	pipes map[string]*stream // by Pipelined-Requests id
 	gone  chan struct{}
 }
 
@@ -168,7 +170,7 @@
 		if err != nil {
 			return
 		}
-		c := &conn{s: s, nc: nc, work: make(chan job, 4096), gone: make(chan struct{})}
+		c := &conn{s: s, nc: nc, work: make(chan job, 4096), pipes: map[string]*stream{}, gone: make(chan struct{})}
 		s.farm.mu.Lock()
 		if !s.up || s.ln != ln {
 			s.farm.mu.Unlock()
@@ -214,6 +216,9 @@
 		return
 	}
 	delete(s.streams, st.id)
+	if st.origin != nil && st.origin.pipes[st.pipe] == st {
+		delete(st.origin.pipes, st.pipe)
+	}
 	if st.playing {
 		e := st.key
 		e.T, e.What, e.Text = 0, record.End, why
--- a/internal/standin/playersim/playersim.go
+++ b/internal/standin/playersim/playersim.go
@@ -3,6 +3,7 @@
 package playersim
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -45,6 +46,9 @@
 	HalfFrame   Bad = "half"      // sends half a frame, then nothing
 	Garbage     Bad = "garbage"   // sends bytes that are no frame
 	Unmasked    Bad = "unmasked"
+	SlowRead    Bad = "slow-read"  // asks again and again and reads nothing
+	NeverPong   Bad = "never-pong" // stays connected and answers no ping
+	Pipeline    Bad = "pipeline"   // sends hundreds of requests at once
 )
 
 // Crowd runs viewers.
@@ -204,6 +208,21 @@
 	case Unmasked:
 		nc.Write(ws.MustCompileFrame(ws.NewTextFrame(text)))
 		readAll(nc)
+	case SlowRead:
+		nc.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		for range 2000 {
+			if wsutil.WriteClientText(nc, []byte(`{"jsonrpc":"2.0","method":"nothing","id":"`+strings.Repeat("x", 200)+`"}`)) != nil {
+				break
+			}
+		}
+		time.Sleep(time.Second)
+	case NeverPong:
+		time.Sleep(2 * time.Second)
+	case Pipeline: // asks for a title that is not there: no session is begun
+		b := ws.MustCompileFrame(ws.MaskFrame(ws.NewTextFrame([]byte(`{"jsonrpc":"2.0","method":"session.open","params":{"title":"none","class":"none","viewer":"p"},"id":1}`))))
+		nc.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		nc.Write(bytes.Repeat(b, 300))
+		readAll(nc)
 	default:
 		return false
 	}
@@ -211,7 +230,7 @@
 }
 
 func readAll(nc net.Conn) {
-	nc.SetReadDeadline(time.Now().Add(2 * time.Second))
+	nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
 	buf := make([]byte, 512)
 	for {
 		if _, err := nc.Read(buf); err != nil {
