--- /dev/null
+++ b/internal/serverlist/serverlist_test.go
@@ -0,0 +1,108 @@
+package serverlist
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"tealledge/policy"
+)
+
+var names = Names{Kinds: []string{"small", "big"}, Zones: []string{"a", "b"}}
+
+func TestFileListsAreReadWhole(t *testing.T) {
+	list, err := parse("f", `(server 7 (address "h:1") (cell 3) (zone "b") (kind "big") (health draining) (size 2.5) (started 99))
+(server 9 (address "h:2"))`, names)
+	if err != nil || len(list) != 2 {
+		t.Fatal(list, err)
+	}
+	want := Entry{policy.Entry{Server: 7, Zone: 1, Kind: 1, Cell: 3, Health: policy.Draining, Size: 2.5, Started: 99}, "h:1"}
+	if list[0] != want || list[1].Size != 1 || list[1].Health != policy.Ready {
+		t.Fatalf("%+v", list)
+	}
+	for in, want := range map[string]string{
+		`(server 0 (address "h:1"))`: "no number from 1",
+		`(server 1)`:                 "needs (address",
+		`(server 1 (address "h:1")) (server 1 (address "h:1"))`: "stands twice",
+		`(server 1 (address "h:1") (zone "c"))`:                 "not among",
+		`(server 1 (address "h:1") (health well))`:              "none of ready",
+		`(server 1 (address "h:1") (started -4))`:               "no time",
+		`(host 1)`: "want (server",
+	} {
+		if _, err := parse("f", in, names); err == nil || !strings.Contains(err.Error(), want) || !strings.HasPrefix(err.Error(), "f:1:") {
+			t.Errorf("%s: %v", in, err)
+		}
+	}
+}
+
+func TestHealthOfChecks(t *testing.T) {
+	check := func(id, status string) *api.HealthCheck { return &api.HealthCheck{CheckID: id, Status: status} }
+	for _, c := range []struct {
+		checks api.HealthChecks
+		want   policy.Health
+	}{
+		{nil, policy.Ready},
+		{api.HealthChecks{check("a", "passing"), check("b", "warning")}, policy.Ready},
+		{api.HealthChecks{check("a", "critical")}, policy.Removed},
+		{api.HealthChecks{check("_service_maintenance:x", "critical"), check("a", "passing")}, policy.Draining},
+		{api.HealthChecks{check("_node_maintenance", "critical")}, policy.Draining},
+	} {
+		if got := health(c.checks); got != c.want {
+			t.Errorf("%v: %d, want %d", c.checks, got, c.want)
+		}
+	}
+}
+
+func TestTheCacheIsWholeOrNothing(t *testing.T) {
+	c := Cache{Dir: filepath.Join(t.TempDir(), "deep", "state"), Names: names}
+	if list, err := c.Load(); list != nil || err != nil {
+		t.Fatal("a first start has no list and no error:", list, err)
+	}
+	want := []Entry{{policy.Entry{Server: 3, Cell: 2, Zone: 1, Kind: 1, Size: 1.25, Started: 5, Health: policy.Draining}, "h:3"}}
+	if err := c.Save(want); err != nil {
+		t.Fatal(err)
+	}
+	if list, err := c.Load(); err != nil || len(list) != 1 || list[0] != want[0] {
+		t.Fatal(list, err)
+	}
+	whole, _ := os.ReadFile(c.path())
+	for cut := 0; cut < len(whole)-1; cut++ { // torn at any byte
+		os.WriteFile(c.path(), whole[:cut], 0o644)
+		if list, err := c.Load(); err == nil {
+			t.Fatalf("cut at %d: taken as %v", cut, list)
+		}
+	}
+	for i := range whole[:len(whole)-1] { // any byte flipped
+		bad := append([]byte(nil), whole...)
+		bad[i] ^= 4
+		os.WriteFile(c.path(), bad, 0o644)
+		if list, err := c.Load(); err == nil {
+			t.Fatalf("byte %d flipped: taken as %v", i, list)
+		}
+	}
+}
+
+func TestAFileIsReadAgainWhenItChanges(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "servers.sexp")
+	f := &File{path, names}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if _, err := f.Next(ctx, 0); err == nil {
+		t.Fatal("no file and no error")
+	}
+	os.WriteFile(path, []byte(`(server 1 (address "h:1"))`), 0o644)
+	a, err := f.Next(ctx, 0)
+	if err != nil || len(a.Entries) != 1 {
+		t.Fatal(a, err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { os.WriteFile(path, []byte(`(server 2 (address "h:1"))`), 0o644) })
+	b, err := f.Next(ctx, a.Index)
+	if err != nil || b.Index == a.Index || len(b.Entries) != 1 {
+		t.Fatal(b, err)
+	}
+}
