--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,10 @@
 	AnswerMargin, LastLine, MovedFor, DrainLimit, Idle, Ping, WriteWait time.Duration
 	KeepAlive, Stall, ProbeWait                                         time.Duration
 	Queue, Message, OpenPerConnection, Connections, WriteBuffer         int
+	ResumeFor, HandshakeLine                                            time.Duration
+	Open, OpenPerTenant                                                 int
+	Handshakes                                                          int  // a second
+	NoGate                                                              bool // overload decisions off, to compare
 }
 
 // Title is a title and where it lies: Copies cells in a row from Home.
@@ -60,7 +64,8 @@
 		LastLine: 30 * time.Millisecond, MovedFor: 30 * time.Second, DrainLimit: 8 * time.Second, Idle: 90 * time.Second,
 		Ping: 30 * time.Second, WriteWait: 2 * time.Second, KeepAlive: 15 * time.Second, Stall: 6 * time.Second,
 		ProbeWait: 250 * time.Millisecond, Queue: 8192, Message: 64 << 10, OpenPerConnection: 64,
-		Connections: 20_000, WriteBuffer: 256 << 10}
+		Connections: 20_000, WriteBuffer: 256 << 10, ResumeFor: 5 * time.Second, HandshakeLine: 2 * time.Second, Open: 20_000,
+		OpenPerTenant: 10_000, Handshakes: 1000}
 }
 
 // Load reads a file. The error joins all mistakes found, each with its place.
@@ -121,16 +126,18 @@
 				return func(n *sexp.Node) { *to = r.Span(n, least, most) }
 			}
 			r.Fields(n, nil, map[string]func(*sexp.Node){
-				"answer-margin": span(&f.AnswerMargin, time.Millisecond, time.Second),
-				"last-line":     span(&f.LastLine, time.Millisecond, time.Second),
-				"moved-for":     span(&f.MovedFor, time.Second, time.Hour),
-				"drain-limit":   span(&f.DrainLimit, 0, 10*time.Minute),
-				"idle":          span(&f.Idle, time.Second, 24*time.Hour),
-				"ping":          span(&f.Ping, 100*time.Millisecond, 24*time.Hour),
-				"write-wait":    span(&f.WriteWait, 10*time.Millisecond, time.Minute),
-				"keep-alive":    span(&f.KeepAlive, 100*time.Millisecond, time.Hour),
-				"stall":         span(&f.Stall, 100*time.Millisecond, time.Minute),
-				"probe-wait":    span(&f.ProbeWait, 10*time.Millisecond, 10*time.Second),
+				"answer-margin":  span(&f.AnswerMargin, time.Millisecond, time.Second),
+				"last-line":      span(&f.LastLine, time.Millisecond, time.Second),
+				"moved-for":      span(&f.MovedFor, time.Second, time.Hour),
+				"drain-limit":    span(&f.DrainLimit, 0, 10*time.Minute),
+				"idle":           span(&f.Idle, time.Second, 24*time.Hour),
+				"ping":           span(&f.Ping, 100*time.Millisecond, 24*time.Hour),
+				"write-wait":     span(&f.WriteWait, 10*time.Millisecond, time.Minute),
+				"keep-alive":     span(&f.KeepAlive, 100*time.Millisecond, time.Hour),
+				"stall":          span(&f.Stall, 100*time.Millisecond, time.Minute),
+				"probe-wait":     span(&f.ProbeWait, 10*time.Millisecond, 10*time.Second),
+				"resume-for":     span(&f.ResumeFor, 0, 10*time.Minute),
+				"handshake-line": span(&f.HandshakeLine, 0, time.Minute),
 			})
 		},
 		"limits": func(n *sexp.Node) {
@@ -143,6 +150,10 @@
 				"open-per-connection": whole(&f.OpenPerConnection, 1, 100_000),
 				"connections":         whole(&f.Connections, 1, 1<<20),
 				"write-buffer":        whole(&f.WriteBuffer, 4096, 64<<20),
+				"open":                whole(&f.Open, 1, 1<<20),
+				"open-per-tenant":     whole(&f.OpenPerTenant, 1, 1<<20),
+				"handshakes":          whole(&f.Handshakes, 1, 1<<20),
+				"gate":                func(n *sexp.Node) { f.NoGate = !r.Flag(n) },
 			})
 		},
 	})
--- a/internal/front/api.go
+++ b/internal/front/api.go
@@ -27,13 +27,14 @@
 type Config struct {
 	Settings policy.Settings
 	Module   Module
-	FirstID  uint64 // ids of sessions count up from here; a later start of the same front must begin above
-	Seed     uint64 // of the tokens of moved players
+	FirstID  uint64        // ids of sessions count up from here; a later start of the same front must begin above
+	Token    func() uint64 // draws tokens; nobody must be able to guess them
 
 	AnswerMargin Time // the module is told a deadline this much earlier, so that its answer arrives in time
 	LastLine     Time // a request still unanswered this long before its deadline is failed by the core
 	MovedFor     Time // a moved player's token is good for so long
 	MovedMost    int  // tokens remembered
+	ResumeFor    Time // a session outlives its player's connection so long; 0: not at all
 }
 
 // Event is something that happened.
@@ -153,6 +154,7 @@
 	Session uint64
 	Server  uint32
 	Rung    int
+	Token   uint64 // for Resume
 }
 
 // Refused turns a request away; After is a come-back time, 0 for none.
@@ -191,6 +193,7 @@
 	WhyEnd     Why = "end"     // the title is over
 	WhyLost    Why = "lost"    // the server or the connection to it is lost
 	WhyLeaving Why = "leaving" // the front leaves service
+	WhyLeft    Why = "left"    // its player was gone too long, or asked anew
 )
 
 // Log is a line of the module for the operators' log.
@@ -203,5 +206,5 @@
 type Stats struct {
 	Taken, Plays, Refused, Failed, Left uint64
 	Attempts, Further, Moves, Probes    uint64
-	Lost, Faults                        uint64
+	Lost, Resumed, Faults               uint64
 }
--- a/internal/front/carry.go
+++ b/internal/front/carry.go
@@ -125,7 +125,7 @@
 		return
 	}
 	c.stats.Moves++
-	token := c.rng.Uint64() | 1
+	token := c.cfg.Token()
 	c.tokens.put(token, s.ask.Viewer, c.now)
 	s.left = true
 	c.do(Stop{s.id, s.attempts - 1, s.server})
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"math/rand"
-
 	"tealledge/decide/admit"
 	"tealledge/decide/fate"
 	"tealledge/policy"
@@ -11,7 +9,6 @@
 // Core is one front. It is not safe for use by several goroutines: one owner drives it.
 type Core struct {
 	cfg      Config
-	rng      *rand.Rand
 	now      Time
 	nextID   uint64
 	sessions map[uint64]*session
@@ -24,6 +21,8 @@
 	out     []Effect
 	pending []policy.Event // for the module, in order
 	feeding bool
+	closing bool              // CloseAll came
+	alone   map[uint64]uint64 // by viewer: a session that waits to be resumed
 }
 
 // session is a request from its arrival until nothing of it is left here or at a server.
@@ -40,12 +39,15 @@
 	dropped  bool   // it was abandoned; its Ended is still to come
 	playing  bool
 	mayRun   bool // an earlier attempt may have run
+	token    uint64
+	alone    bool // it plays, and its player's connection is lost
+	detached int  // how often that happened
 }
 
 // New makes a core. The list comes as an event.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, rng: rand.New(rand.NewSource(int64(cfg.Seed))), nextID: cfg.FirstID,
-		sessions: map[uint64]*session{}, ready: map[uint32]bool{},
+	return &Core{cfg: cfg, nextID: cfg.FirstID,
+		sessions: map[uint64]*session{}, ready: map[uint32]bool{}, alone: map[uint64]uint64{},
 		tokens: tokens{byToken: map[uint64]moved{}, most: cfg.MovedMost, lasts: cfg.MovedFor}}
 }
 
@@ -76,6 +78,7 @@
 
 func (c *Core) begin(now Time) {
 	c.now = max(now, c.now, 1) // a clock that steps back stands still here
+	c.timers.begin(c.now)
 	c.out = c.out[:0]
 }
 
@@ -96,6 +99,8 @@
 			}
 		case timerLastLine:
 			c.lastLine(c.sessions[t.session])
+		case timerDetached:
+			c.detachedOut(t)
 		}
 	}
 }
@@ -106,6 +111,10 @@
 		c.asked(e)
 	case Leave:
 		c.leave(c.sessions[e.Session])
+	case Detach:
+		c.detach(c.sessions[e.Session])
+	case Resume:
+		c.resume(e)
 	case Began:
 		c.began(e)
 	case Ended:
@@ -125,6 +134,7 @@
 
 // asked takes a request. From here on it owes exactly one answer, unless its player leaves.
 func (c *Core) asked(a Ask) {
+	c.supersede(a.Viewer)
 	c.nextID++
 	wait := a.Wait
 	if a.Class >= 0 && a.Class < len(c.cfg.Settings.Classes) {
@@ -163,6 +173,7 @@
 		return
 	}
 	s.left = true
+	c.accompany(s)
 	switch {
 	case s.playing:
 		c.do(Stop{s.id, s.attempts - 1, s.server})
@@ -198,7 +209,8 @@
 		return
 	}
 	c.stats.Plays++
-	c.do(Plays{s.ask.Player, s.id, s.server, s.rung})
+	s.token = c.cfg.Token()
+	c.do(Plays{s.ask.Player, s.id, s.server, s.rung, s.token})
 	c.feed(policy.Playing{ID: s.id, Attempt: e.Attempt, Server: s.server, Took: e.Took})
 	if c.cfg.Settings.Inline {
 		c.reported(s, e.Report)
@@ -247,6 +259,7 @@
 // finish ends a session that played.
 func (c *Core) finish(s *session, status policy.Status, report []float64) {
 	s.playing = false
+	c.accompany(s)
 	delete(c.sessions, s.id)
 	c.feed(policy.Outcome{ID: s.id, Attempt: s.attempts - 1, Server: s.server, Status: status, Final: true,
 		Report: report})
@@ -279,6 +292,7 @@
 }
 
 func (c *Core) closeAll() {
+	c.closing = true
 	for _, id := range sorted(c.sessions) {
 		s := c.sessions[id]
 		if s == nil || s.left {
--- a/internal/front/core_test.go
+++ b/internal/front/core_test.go
@@ -39,8 +39,10 @@
 	if module == nil {
 		module = policy.New(set, 1)
 	}
-	r := &rig{t: t, now: start, c: New(Config{Settings: set, Module: module, Seed: 1, AnswerMargin: 50 * ms,
-		LastLine: 20 * ms, MovedFor: 10 * policy.Second, MovedMost: 2})}
+	last := uint64(1000)
+	draw := func() uint64 { last++; return last }
+	r := &rig{t: t, now: start, c: New(Config{Settings: set, Module: module, Token: draw, AnswerMargin: 50 * ms,
+		LastLine: 20 * ms, MovedFor: 10 * policy.Second, MovedMost: 2, ResumeFor: 3 * policy.Second})}
 	r.step(Listed{policy.List{Kind: policy.ListFull, Entries: entries(policy.Ready, 1, 2, 3)}})
 	return r
 }
@@ -374,6 +376,55 @@
 	}
 }
 
+func TestASessionOutlivesABreakAndIsResumedOnce(t *testing.T) {
+	r := newRig(t, nil)
+	s := one[Setup](t, r.ask(0))
+	p := one[Plays](t, r.step(Began{Session: s.Session}))
+	if out := r.step(Detach{s.Session}); len(out) > 0 {
+		t.Fatalf("%+v", out)
+	}
+	r.pass(2 * policy.Second)
+	one[Unknown](t, r.step(Resume{s.Session, p.Token + 1, 88}))
+	got := one[Resumed](t, r.step(Resume{s.Session, p.Token, 88}))
+	if got.Old != 77 || got.Server != s.Server {
+		t.Fatalf("%+v", got)
+	}
+	if out := r.pass(5 * policy.Second); len(of[Stop](out)) > 0 {
+		t.Fatal("ended by the time-out of a break that is over")
+	}
+	r.step(Detach{s.Session})
+	out := r.pass(3100 * ms)
+	one[Stop](t, out)
+	one[Unknown](t, r.step(Resume{s.Session, p.Token, 89}))
+	if r.c.Held() != 0 || answers(out) > 0 || r.c.Stats().Attempts != 1 {
+		t.Fatal(r.c.Held(), out, r.c.Stats())
+	}
+}
+
+func TestAViewerThatAsksAnewGivesUpItsDetachedSession(t *testing.T) {
+	r := newRig(t, nil)
+	s := one[Setup](t, r.ask(0))
+	r.step(Began{Session: s.Session})
+	r.step(Detach{s.Session})
+	out := r.ask(0)
+	if stop := one[Stop](t, out); stop.Session != s.Session || one[Over](t, out).Why != WhyLeft || one[Setup](t, out).Session == s.Session {
+		t.Fatalf("%+v", out)
+	}
+	if r.c.Held() != 1 || len(r.c.alone) != 0 {
+		t.Fatal(r.c.Held(), r.c.alone)
+	}
+}
+
+func TestABreakBeforeTheAnswerEndsTheRequest(t *testing.T) {
+	r := newRig(t, nil)
+	s := one[Setup](t, r.ask(1))
+	one[Abandon](t, r.step(Detach{s.Session}))
+	one[Unknown](t, r.step(Resume{s.Session, 0, 88})) // no token was ever given
+	if out := r.step(Began{Session: s.Session}); answers(out) > 0 {
+		t.Fatalf("%+v", out)
+	}
+}
+
 func TestRequestReadTooLateIsAnsweredAndNotBegun(t *testing.T) {
 	r := newRig(t, nil)
 	out := r.step(Ask{Player: 1, Read: r.now - 4*policy.Second, Copies: 3})
--- a/internal/jsonrpc/jsonrpc.go
+++ b/internal/jsonrpc/jsonrpc.go
@@ -184,3 +184,124 @@
 func Join(list [][]byte) []byte {
 	return append(append([]byte{'['}, bytes.Join(list, []byte{','})...), ']')
 }
+
+// Peek finds, without decoding, what a front must know to turn a plain request away: its method, the raw id, and two
+// string parameters. It is for messages as clients write them; ok is false for anything else (a batch, escapes in
+// what is looked for, another form), which is then parsed in full. It never reads more into a message than Parse does.
+func Peek(text []byte, first, second string) (method, id, a, b []byte, ok bool) {
+	s := scanner{text: text}
+	if !s.eat('{') {
+		return
+	}
+	version := false
+	for {
+		key, good := s.str()
+		if !good || !s.eat(':') {
+			return nil, nil, nil, nil, false
+		}
+		switch string(key) {
+		case "jsonrpc":
+			v, good := s.str()
+			if version = good && string(v) == "2.0"; !version {
+				return nil, nil, nil, nil, false
+			}
+		case "method":
+			if method, good = s.str(); !good {
+				return nil, nil, nil, nil, false
+			}
+		case "id":
+			if id, good = s.scalar(); !good || len(id) > 256 {
+				return nil, nil, nil, nil, false
+			}
+		case "params":
+			if !s.eat('{') {
+				return nil, nil, nil, nil, false
+			}
+			for !s.eat('}') {
+				key, good := s.str()
+				if !good || !s.eat(':') {
+					return nil, nil, nil, nil, false
+				}
+				raw, good := s.scalar()
+				if !good {
+					return nil, nil, nil, nil, false
+				}
+				if string(key) == first {
+					a = bytes.Trim(raw, `"`)
+				} else if string(key) == second {
+					b = bytes.Trim(raw, `"`)
+				}
+				if !s.eat(',') && !s.see('}') {
+					return nil, nil, nil, nil, false
+				}
+			}
+		default:
+			return nil, nil, nil, nil, false
+		}
+		if s.eat(',') {
+			continue
+		}
+		ok = s.eat('}') && s.end() && version && len(id) > 0 && len(method) > 0
+		return method, id, a, b, ok
+	}
+}
+
+// scanner walks over plain JSON.
+type scanner struct {
+	text []byte
+	at   int
+}
+
+func (s *scanner) space() {
+	for s.at < len(s.text) && (s.text[s.at] == ' ' || s.text[s.at] == '\n' || s.text[s.at] == '\t' || s.text[s.at] == '\r') {
+		s.at++
+	}
+}
+
+func (s *scanner) see(c byte) bool {
+	s.space()
+	return s.at < len(s.text) && s.text[s.at] == c
+}
+
+func (s *scanner) eat(c byte) bool {
+	if s.see(c) {
+		s.at++
+		return true
+	}
+	return false
+}
+
+func (s *scanner) end() bool { s.space(); return s.at == len(s.text) }
+
+// str reads a string without escapes.
+func (s *scanner) str() ([]byte, bool) {
+	if !s.eat('"') {
+		return nil, false
+	}
+	from := s.at
+	for ; s.at < len(s.text); s.at++ {
+		switch c := s.text[s.at]; {
+		case c == '"':
+			s.at++
+			return s.text[from : s.at-1], true
+		case c == '\\' || c < ' ':
+			return nil, false
+		}
+	}
+	return nil, false
+}
+
+// scalar reads a string, number or word, as written.
+func (s *scanner) scalar() ([]byte, bool) {
+	s.space()
+	from := s.at
+	if s.see('"') {
+		_, ok := s.str()
+		return s.text[from:s.at], ok
+	}
+	for s.at < len(s.text) && s.text[s.at] != ',' && s.text[s.at] != '}' && s.text[s.at] > ' ' {
+		s.at++
+	}
+	word := s.text[from:s.at]
+	return word, len(word) > 0 && json.Valid(word) && word[0] != '[' && word[0] != '{'
+}
--- a/internal/jsonrpc/jsonrpc_test.go
+++ b/internal/jsonrpc/jsonrpc_test.go
@@ -79,3 +79,36 @@
 		}
 	})
 }
+
+func TestPeekSeesWhatParseSees(t *testing.T) {
+	m, id, a, b, ok := Peek([]byte(`{"jsonrpc":"2.0", "method":"session.open","params":{"class":"x","top":3,"tenant":"y"},"id":"q 1"}`), "class", "tenant")
+	if !ok || string(m) != "session.open" || string(id) != `"q 1"` || string(a) != "x" || string(b) != "y" {
+		t.Fatal(string(m), string(id), string(a), string(b), ok)
+	}
+	for _, in := range []string{``, `{}`, `[]`, `{"jsonrpc":"2.0","method":"a"}`, `{"jsonrpc":"1.0","method":"a","id":1}`, `{"jsonrpc":"2.0","method":"\u0061","id":1}`,
+		`{"jsonrpc":"2.0","method":"a","id":[1]}`, `{"jsonrpc":"2.0","method":"a","id":1}x`, `{"jsonrpc":"2.0","method":"a","params":{"class":{}},"id":1}`,
+		`{"jsonrpc":"2.0","method":"a","id":1`, `{"jsonrpc":"2.0","method":"a","id":1,}`, `{"jsonrpc":"2.0","method":"a","id":nonsense}`} {
+		if _, _, _, _, ok := Peek([]byte(in), "class", "tenant"); ok {
+			t.Errorf("%s taken", in)
+		}
+	}
+}
+
+func FuzzPeek(f *testing.F) {
+	f.Add([]byte(`{"jsonrpc":"2.0","method":"a","params":{"class":"x"},"id":1}`))
+	f.Add([]byte(`{"id":1,"jsonrpc":"2.0","method":"a","id":2}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		method, id, class, _, ok := Peek(in, "class", "tenant")
+		if !ok {
+			return
+		}
+		list, batch, bad := Parse(in)
+		if bad != nil || batch || len(list) != 1 || list[0].Bad != nil || list[0].Method != string(method) || string(list[0].ID) != string(id) {
+			t.Fatalf("peeked %q %q, parsed %+v %v", method, id, list, bad)
+		}
+		var p struct{ Class string }
+		if class != nil && json.Unmarshal(list[0].Params, &p) == nil && p.Class != string(class) && !strings.EqualFold(p.Class, string(class)) {
+			t.Fatalf("class %q, parsed %q", class, p.Class)
+		}
+	})
+}
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -34,25 +34,40 @@
 // Send queues bytes. It gives false, and closes the connection, if more wait than the pipe holds: the peer reads
 // too slowly, or not at all.
 func (p *Pipe) Send(b []byte) bool {
+	start, ok := p.queue(b)
+	if start {
+		go p.write()
+	}
+	return ok
+}
+
+// SendHere is Send by the connection's own reader, which may be held up: it writes itself if nobody else does.
+func (p *Pipe) SendHere(b []byte) bool {
+	start, ok := p.queue(b)
+	if start {
+		p.write()
+	}
+	return ok
+}
+
+// queue adds bytes to what waits; start tells that the caller is to have it written.
+func (p *Pipe) queue(b []byte) (start, ok bool) {
 	p.mu.Lock()
 	if p.dead || p.last {
 		p.mu.Unlock()
-		return false
+		return false, false
 	}
 	if len(p.buf)+len(b) > p.most {
 		p.dead, p.buf = true, nil
 		p.mu.Unlock()
 		p.conn.Close()
-		return false
+		return false, false
 	}
 	p.buf = append(p.buf, b...)
-	start := !p.active
+	start = !p.active
 	p.active = true
 	p.mu.Unlock()
-	if start {
-		go p.write()
-	}
-	return true
+	return start, true
 }
 
 // Finish closes the connection when all that waits is written.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -86,10 +86,10 @@
 		module = baseline.New(baseline.Kind(cfg.Front.Baseline), cfg.Service, seed)
 		log.Warn().Str("baseline", cfg.Front.Baseline).Msg("a baseline decides in the module's place")
 	}
-	s.core = front.New(front.Config{Settings: cfg.Service, Module: module, Seed: seed,
+	s.core = front.New(front.Config{Settings: cfg.Service, Module: module, Token: newTokens(),
 		FirstID:      seed / uint64(time.Millisecond) << 12 & (1<<52 - 1), // above every id of an earlier start
 		AnswerMargin: policy.Time(cfg.Front.AnswerMargin), LastLine: policy.Time(cfg.Front.LastLine),
-		MovedFor: policy.Time(cfg.Front.MovedFor), MovedMost: 10_000})
+		MovedFor: policy.Time(cfg.Front.MovedFor), MovedMost: 10_000, ResumeFor: policy.Time(cfg.Front.ResumeFor)})
 	s.desk = exchange.New(exchange.Config{Front: cfg.Front.Name, Fields: cfg.Service.Fields,
 		ProbeWait: policy.Time(cfg.Front.ProbeWait), Stall: policy.Time(cfg.Front.Stall),
 		KeepAlive: policy.Time(cfg.Front.KeepAlive), TitleName: s.titleName})
