Players: overload gate at the door, resumed sessions, paced handshakes

Need: a front must say no before work is spent, hold what a connection or tenant may have open, and let players that lost their socket take their session up again.

Change: requests over what is served are turned away by class and tenant before they are decoded; handshakes pass a door; session.resume; calls of players that left are forgotten; a connection that the front closed itself lost its sessions only by accident, it is told now. News of requests taken goes before new requests in the owner's queue.

--- a/internal/players/api.go
+++ b/internal/players/api.go
@@ -8,9 +8,12 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gobwas/ws"
 
+	"tealledge/decide/overload"
 	"tealledge/internal/front"
 	"tealledge/internal/jsonrpc"
+	"tealledge/internal/wsock"
 	"tealledge/policy"
 )
 
@@ -34,7 +37,8 @@
 	Server  string  `json:"server"` // HOST:PORT of the media server
 	URI     string  `json:"uri"`
 	Rung    int     `json:"rung"`
-	Rate    float64 `json:"rate"` // kB a second
+	Rate    float64 `json:"rate"`            // kB a second
+	Token   string  `json:"token,omitempty"` // for session.resume
 }
 
 // NoData comes with the errors refused and failed.
@@ -48,6 +52,9 @@
 
 // message takes one text message of a player.
 func (c *Conn) message(now front.Time, text []byte) {
+	if c.hub.owner.Limited() && c.turnedAway(text) {
+		return
+	}
 	list, isBatch, bad := jsonrpc.Parse(text)
 	if bad != nil {
 		c.send(jsonrpc.Failure(nil, bad))
@@ -79,6 +86,8 @@
 			c.openSession(now, call, r.Params)
 		case "session.close":
 			c.closeSession(call, r.Params)
+		case "session.resume":
+			c.resumeSession(call, r.Params)
 		default:
 			call.Fail(jsonrpc.MethodNotFound, fmt.Sprintf("no method %.40q", r.Method), nil)
 		}
@@ -115,13 +124,69 @@
 	}
 	at := c.hub.cfg.Titles[title]
 	ask.Title, ask.Home, ask.Copies = uint64(title)+1, at.Home, at.Copies
-	if int(c.open.Add(1)) > c.hub.cfg.Front.OpenPerConnection {
-		c.open.Add(-1)
+	if !c.hub.owner.Limited() { // else the gate was asked before
+		if after, ok := c.hub.owner.Admit(ask.Class, ask.Tenant); !ok {
+			c.hub.Stats.Busy.Add(1)
+			call.Fail(CodeRefused, "refused: busy", NoData{RetryAfterMs: after / policy.Millisecond})
+			return
+		}
+	}
+	switch full := call.takeRoom(ask.Tenant); full {
+	case overload.NotFull:
+		c.hub.owner.Open(call, ask)
+	case overload.ConnectionFull:
 		call.Fail(CodeTooManyOpen, fmt.Sprintf("%d requests at most may be open on a connection", c.hub.cfg.Front.OpenPerConnection), nil)
+	default:
+		c.hub.Stats.Busy.Add(1)
+		call.Fail(CodeRefused, "refused: busy ("+string(full)+")", NoData{RetryAfterMs: c.hub.cfg.Service.MaxRetry / policy.Millisecond})
+	}
+}
+
+// turnedAway asks the gate about a request while requests are being turned away, before it is decoded. It gives
+// true if the request was answered so.
+func (c *Conn) turnedAway(text []byte) bool {
+	method, id, class, tenant, ok := jsonrpc.Peek(text, "class", "tenant")
+	if !ok || string(method) != "session.open" {
+		return false
+	}
+	k, t := index(c.hub.cfg.Classes, string(class)), max(index(c.hub.cfg.Tenants, string(tenant)), 0)
+	if k < 0 {
+		return false // its parameters are refused
+	}
+	after, ok := c.hub.owner.Admit(k, t)
+	if ok {
+		return false
+	}
+	c.hub.Stats.Busy.Add(1)
+	b := fmt.Appendf(make([]byte, 0, 160), `{"jsonrpc":"2.0","error":{"code":%d,"message":"refused: busy","data":{"retryAfterMs":%d}},"id":%s}`,
+		CodeRefused, after/policy.Millisecond, id)
+	c.sock.Out = wsock.Frame(c.sock.Out, ws.OpText, b)
+	return true
+}
+
+func (c *Conn) resumeSession(call *Call, params json.RawMessage) {
+	var p struct {
+		Session string `json:"session"`
+		Token   string `json:"token"`
+	}
+	if err := decode(params, &p); err != nil {
+		call.Fail(jsonrpc.InvalidParams, err.Error(), nil)
+		return
+	}
+	id, ok := c.hub.sessionID(p.Session)
+	token, err := strconv.ParseUint(p.Token, 16, 64)
+	if !ok || err != nil {
+		call.Fail(CodeUnknownSession, "no such session here: open it anew", nil)
 		return
 	}
-	call.opens = true
-	c.hub.owner.Open(call, ask)
+	c.hub.owner.Resume(call, id, token)
+}
+
+// sessionID gives the number of a session of this front.
+func (h *Hub) sessionID(text string) (uint64, bool) {
+	name, id, ok := cutLast(text, "-")
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, ok && err == nil && name == h.cfg.Front.Name
 }
 
 // ask checks parameters and turns names into numbers.
@@ -173,9 +238,8 @@
 		call.Fail(jsonrpc.InvalidParams, err.Error(), nil)
 		return
 	}
-	name, id, ok := cutLast(p.Session, "-")
-	n, err := strconv.ParseUint(id, 10, 64)
-	if !ok || err != nil || name != c.hub.cfg.Front.Name {
+	n, ok := c.hub.sessionID(p.Session)
+	if !ok {
 		call.Fail(CodeUnknownSession, "no such session here", nil)
 		return
 	}
--- a/internal/players/players.go
+++ b/internal/players/players.go
@@ -4,6 +4,7 @@
 package players
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,11 +16,13 @@
 	"github.com/cloudwego/netpoll"
 	"github.com/gobwas/ws"
 
+	"tealledge/decide/overload"
 	"tealledge/internal/config"
 	"tealledge/internal/front"
 	"tealledge/internal/jsonrpc"
 	"tealledge/internal/pipe"
 	"tealledge/internal/wsock"
+	"tealledge/policy"
 )
 
 // Path is where the session API is served.
@@ -39,7 +42,12 @@
 	Now() front.Time
 	Open(call *Call, ask front.Ask)
 	Close(call *Call, session uint64)
+	Resume(call *Call, session, token uint64)
 	Gone(conn *Conn)
+	// Admit decides, before work is spent, whether a request of a class and tenant is let in; if not, after tells
+	// when to come again. Limited tells whether requests are being turned away at all.
+	Admit(class, tenant int) (after front.Time, ok bool)
+	Limited() bool
 }
 
 // Hub holds the players' connections.
@@ -52,19 +60,25 @@
 	conns map[*Conn]struct{}
 	stop  chan struct{}
 	done  sync.WaitGroup
+	door  overload.Door // guarded by mu
+	open  atomic.Int32  // requests that wait for their answer, in all
+	byTen []atomic.Int32
 	Stats Stats
 }
 
 // Stats counts what crossed the players' sockets.
 type Stats struct {
-	Accepted, TurnedAway, Messages, Broken atomic.Uint64
+	Accepted, TurnedAway, Messages, Broken, Waited, Busy atomic.Uint64
 }
 
 // Conn is one player connection. Sessions is the owner's: the sessions that end with it.
 type Conn struct {
 	hub      *Hub
 	pipe     *pipe.Pipe
-	sock     *wsock.Conn // touched by the connection's reader only
+	mu       sync.Mutex // of what follows: the connection's reader, or the door that lets it in
+	sock     *wsock.Conn
+	held     []byte // of a handshake that is not whole yet, or waits at the door
+	state    doorState
 	read     atomic.Int64
 	pinged   atomic.Int64
 	open     atomic.Int32 // requests that wait for their answer
@@ -72,11 +86,22 @@
 	Sessions map[uint64]struct{}
 }
 
+// doorState is how far a connection came at the door.
+type doorState uint8
+
+const (
+	outside doorState = iota // its handshake is not whole yet
+	inLine
+	inside
+)
+
 type connKey struct{}
 
 // New makes a hub that listens at the configured address.
 func New(cfg *config.Config, owner Owner) (*Hub, error) {
-	h := &Hub{cfg: cfg, owner: owner, conns: map[*Conn]struct{}{}, stop: make(chan struct{})}
+	h := &Hub{cfg: cfg, owner: owner, conns: map[*Conn]struct{}{}, stop: make(chan struct{}),
+		byTen: make([]atomic.Int32, max(len(cfg.Tenants), 1)),
+		door:  overload.Door{PerSecond: float64(cfg.Front.Handshakes), Burst: float64(cfg.Front.Handshakes) / 4, Line: policy.Time(cfg.Front.HandshakeLine)}}
 	ln, err := netpoll.CreateListener("tcp", cfg.Front.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("players: %w", err)
@@ -121,6 +146,10 @@
 	c := &Conn{hub: h, sock: wsock.New(Path, h.cfg.Front.Message), Sessions: map[uint64]struct{}{},
 		pipe: pipe.New(nc, h.cfg.Front.WriteBuffer, h.cfg.Front.WriteWait)}
 	c.read.Store(int64(h.owner.Now()))
+	nc.AddCloseCallback(func(netpoll.Connection) error { // also when this side closes, which OnDisconnect leaves out
+		c.leave()
+		return nil
+	})
 	h.mu.Lock()
 	full := len(h.conns) >= h.cfg.Front.Connections
 	if !full {
@@ -162,25 +191,72 @@
 		nc.Close()
 		return err
 	}
-	now := h.owner.Now()
-	c.read.Store(int64(now))
-	list := c.sock.Feed(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read.Store(int64(h.owner.Now()))
+	if c.state == inside {
+		c.feed(b)
+		return nc.Reader().Release()
+	}
+	c.held = append(c.held, b...)
 	nc.Reader().Release()
-	for _, in := range list {
+	switch {
+	case c.state == inLine && len(c.held) > 2*wsock.MaxHandshake: // a client waits for its handshake's answer
+		nc.Close()
+	case c.state == outside && (bytes.Contains(c.held, []byte("\r\n\r\n")) || len(c.held) > wsock.MaxHandshake):
+		c.knock()
+	}
+	return nil
+}
+
+// knock asks the door for a connection whose handshake is whole.
+func (c *Conn) knock() {
+	h := c.hub
+	h.mu.Lock()
+	verdict, wait := h.door.Come(h.owner.Now())
+	h.mu.Unlock()
+	switch verdict {
+	case overload.Now:
+		c.enter()
+	case overload.Later:
+		h.Stats.Waited.Add(1)
+		c.state = inLine
+		time.AfterFunc(time.Duration(wait), func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.enter()
+		})
+	case overload.Away:
+		h.Stats.TurnedAway.Add(1)
+		c.held = nil
+		c.pipe.Send(fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n", wait/policy.Second+1))
+		c.pipe.Finish()
+	}
+}
+
+func (c *Conn) enter() {
+	b := c.held
+	c.held, c.state = nil, inside
+	c.feed(b)
+}
+
+// feed reads what came on a connection that is in.
+func (c *Conn) feed(b []byte) {
+	h, now := c.hub, c.hub.owner.Now()
+	for _, in := range c.sock.Feed(b) {
 		if in.Kind == wsock.Text {
 			h.Stats.Messages.Add(1)
 			c.message(now, in.Data)
 		}
 	}
 	if len(c.sock.Out) > 0 {
-		c.pipe.Send(c.sock.Out)
+		c.pipe.SendHere(c.sock.Out)
 		c.sock.Out = nil
 	}
 	if c.sock.Closed() {
 		h.Stats.Broken.Add(1)
 		c.pipe.Finish()
 	}
-	return nil
 }
 
 // sweep pings connections that are quiet and closes those that stay so.
@@ -227,12 +303,14 @@
 
 // Call is a request that waits for its answer.
 type Call struct {
-	Conn  *Conn
-	id    json.RawMessage
-	batch *batch
-	slot  int
-	opens bool // it counts among the connection's open requests
-	done  atomic.Bool
+	Conn   *Conn
+	Handle uint64 // the owner's
+	id     json.RawMessage
+	batch  *batch
+	slot   int
+	opens  bool // it counts among the open requests
+	ten    int  // of this tenant
+	done   atomic.Bool
 }
 
 // batch gathers the answers to a batch; they are sent together (JSON-RPC 2.0 section 6).
@@ -255,7 +333,7 @@
 		return false
 	}
 	if c.opens {
-		c.Conn.open.Add(-1)
+		c.leaveRoom()
 	}
 	if c.batch == nil {
 		c.Conn.send(text)
@@ -273,3 +351,38 @@
 
 // Left tells whether the connection is gone.
 func (c *Conn) Left() bool { return c.gone.Load() }
+
+// takeRoom counts a request among those that wait, if the limits leave room for it.
+func (c *Call) takeRoom(tenant int) overload.Full {
+	h := c.Conn.hub
+	full := overload.Limits{Front: h.cfg.Front.Open, Connection: h.cfg.Front.OpenPerConnection, Tenant: h.cfg.Front.OpenPerTenant}.
+		Room(int(h.open.Load()), int(c.Conn.open.Load()), int(h.byTen[tenant].Load()), len(h.byTen))
+	if full == overload.NotFull {
+		c.opens, c.ten = true, tenant
+		h.open.Add(1)
+		c.Conn.open.Add(1)
+		h.byTen[tenant].Add(1)
+	}
+	return full
+}
+
+func (c *Call) leaveRoom() {
+	h := c.Conn.hub
+	h.open.Add(-1)
+	c.Conn.open.Add(-1)
+	h.byTen[c.ten].Add(-1)
+}
+
+// Drop ends a call whose connection is gone: nobody is told, and its room is free again.
+func (c *Call) Drop() {
+	if !c.done.Swap(true) && c.opens {
+		c.leaveRoom()
+	}
+}
+
+// Connections tells how many players are connected.
+func (h *Hub) Connections() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns)
+}
--- a/internal/serve/queue.go
+++ b/internal/serve/queue.go
@@ -10,7 +10,8 @@
 type queue struct {
 	mu     sync.Mutex
 	room   sync.Cond
-	items  []any
+	items  []any // news and advisories, taken first: they end waits
+	asks   []any
 	most   int
 	wake   chan struct{}
 	closed bool
@@ -32,7 +33,7 @@
 		if q.closed {
 			return false
 		}
-		switch admit.Enter(kind, len(q.items), q.most) {
+		switch admit.Enter(kind, len(q.items)+len(q.asks), q.most) {
 		case admit.Refuse:
 			q.turned++
 			return false
@@ -40,7 +41,12 @@
 			q.room.Wait()
 			continue
 		}
-		q.add(item)
+		if kind == admit.Ask {
+			q.asks = append(q.asks, item)
+			q.ring()
+		} else {
+			q.add(item)
+		}
 		return true
 	}
 }
@@ -57,23 +63,36 @@
 
 func (q *queue) add(item any) {
 	q.items = append(q.items, item)
-	q.peak = max(q.peak, len(q.items))
+	q.ring()
+}
+
+func (q *queue) ring() {
+	q.peak = max(q.peak, len(q.items)+len(q.asks))
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
 }
 
-// take gives up to n items, in order.
-func (q *queue) take(n int, into []any) []any {
+// take gives up to n items: news first, then asks, each in order. Asks get at least a quarter of the batch, so that
+// no stream of notes keeps them out. backlog tells how many asks wait still.
+func (q *queue) take(n int, into []any) (list []any, backlog int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	n = min(n, len(q.items))
-	into = append(into[:0], q.items[:n]...)
-	rest := copy(q.items, q.items[n:])
-	clear(q.items[rest:])
-	q.items = q.items[:rest]
+	asks := min(len(q.asks), max(n/4, n-len(q.items)))
+	into = cut(&q.items, n-asks, into[:0])
+	into = cut(&q.asks, asks, into)
 	q.room.Broadcast()
+	return into, len(q.asks)
+}
+
+// cut moves up to n items from the front of a list.
+func cut(list *[]any, n int, into []any) []any {
+	n = min(n, len(*list))
+	into = append(into, (*list)[:n]...)
+	rest := copy(*list, (*list)[n:])
+	clear((*list)[rest:])
+	*list = (*list)[:rest]
 	return into
 }
 
@@ -87,5 +106,5 @@
 func (q *queue) stats() (length, peak int, turned uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.items), q.peak, q.turned
+	return len(q.items) + len(q.asks), q.peak, q.turned
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -6,15 +6,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"tealledge/decide/admit"
 	"tealledge/decide/members"
+	"tealledge/decide/overload"
 	"tealledge/internal/baseline"
 	"tealledge/internal/config"
 	"tealledge/internal/exchange"
@@ -51,11 +52,15 @@
 	calls   map[uint64]*players.Call // by the handle given to the core
 	handles uint64
 	byID    map[uint64]*players.Call // sessions that play or wait, by session id
-	rng     *rand.Rand
-	doubt   bool // the last answer of the list was not believed; told once
+	later   []front.Event            // that arose while effects were carried out
+	doubt   bool                     // the last answer of the list was not believed; told once
 
 	leaving  bool
 	closing  bool
+	gateMu   sync.Mutex
+	gate     *overload.Gate // guarded by gateMu
+	limited  atomic.Bool    // what the gate said last
+	backlog  int
 	ctx      context.Context
 	cancel   context.CancelFunc
 	finished chan struct{}
@@ -80,7 +85,7 @@
 	s := &Server{cfg: cfg, log: log, start: time.Now(), addrs: map[uint32]string{}, calls: map[uint64]*players.Call{},
 		byID: map[uint64]*players.Call{}, queue: newQueue(cfg.Front.Queue), finished: make(chan struct{})}
 	seed := uint64(s.start.UnixNano())
-	s.rng = rand.New(rand.NewSource(int64(seed)))
+	s.gate = overload.New(weights(cfg))
 	var module front.Module = policy.New(cfg.Service, seed)
 	if cfg.Front.Baseline != "" {
 		module = baseline.New(baseline.Kind(cfg.Front.Baseline), cfg.Service, seed)
@@ -174,6 +179,10 @@
 		call    *players.Call
 		session uint64
 	}
+	resumed struct {
+		call           *players.Call
+		session, token uint64
+	}
 	playerGone struct{ conn *players.Conn }
 	connected  struct{ server, conn uint64 }
 	dialFailed struct{ server, conn uint64 }
@@ -198,9 +207,66 @@
 func (o owner) Open(call *players.Call, ask front.Ask) {
 	if !o.s.queue.put(admit.Ask, asked{call, ask}) {
 		// The queue is full of work already taken: turned away before any work is spent, and never begun.
-		after := admit.ComeBack(o.s.cfg.Service.MaxRetry, float64(o.s.now()%1000)/1000)
-		call.Fail(players.CodeRefused, "refused: busy", players.NoData{RetryAfterMs: after / policy.Millisecond})
+		call.Fail(players.CodeRefused, "refused: busy", players.NoData{RetryAfterMs: o.s.comeBack() / policy.Millisecond})
+	}
+}
+
+func (o owner) Resume(call *players.Call, session, token uint64) {
+	o.s.queue.put(admit.News, resumed{call, session, token})
+}
+
+func (o owner) Limited() bool { return o.s.limited.Load() }
+
+func (o owner) Admit(class, tenant int) (front.Time, bool) {
+	s := o.s
+	if s.cfg.Front.NoGate {
+		return 0, true
+	}
+	s.gateMu.Lock()
+	ok := s.gate.Admit(s.now(), class*max(len(s.cfg.Tenants), 1)+tenant)
+	s.limited.Store(s.gate.Limited())
+	s.gateMu.Unlock()
+	if ok {
+		return 0, true
+	}
+	return s.comeBack(), false
+}
+
+// comeBack is the time told to those turned away before they were taken.
+func (s *Server) comeBack() front.Time {
+	return admit.ComeBack(s.cfg.Service.MaxRetry, float64(s.now()%1000)/1000)
+}
+
+// weights gives the gate's flows: classes by tenants, a class's worth times a tenant's share.
+func weights(cfg *config.Config) (list []float64) {
+	total := 0.0
+	for _, t := range cfg.Service.Tenants {
+		total += t.PerSecond
+	}
+	for _, k := range cfg.Service.Classes {
+		if total == 0 {
+			for range max(len(cfg.Tenants), 1) {
+				list = append(list, k.Worth)
+			}
+			continue
+		}
+		for _, t := range cfg.Service.Tenants {
+			list = append(list, k.Worth*t.PerSecond/total)
+		}
+	}
+	return list
+}
+
+// waited reports to the gate how long a request waited, and tells whether it is turned away for it.
+func (s *Server) waited(now front.Time, ask *front.Ask) (stale bool) {
+	if s.cfg.Front.NoGate {
+		return false
 	}
+	s.gateMu.Lock()
+	defer s.gateMu.Unlock()
+	s.gate.Waited(now, now-ask.Read, s.backlog)
+	s.limited.Store(s.gate.Limited())
+	return overload.Stale(now-ask.Read, s.gate.Limited())
 }
 
 func (o owner) Close(call *players.Call, session uint64) {
@@ -240,7 +306,7 @@
 			s.log.Warn().Dur("gap", time.Duration(now-last)).Msg("stood still")
 		}
 		last = now
-		batch = s.queue.take(batchMost, batch)
+		batch, s.backlog = s.queue.take(batchMost, batch)
 		for _, item := range batch {
 			s.handle(item)
 		}
@@ -296,6 +362,10 @@
 	switch e := item.(type) {
 	case asked:
 		s.take(now, e)
+	case resumed:
+		s.handles++
+		s.calls[s.handles] = e.call
+		s.step(now, front.Resume{Session: e.session, Token: e.token, Player: s.handles})
 	case closed:
 		if _, mine := e.call.Conn.Sessions[e.session]; !mine {
 			e.call.Fail(players.CodeUnknownSession, "no such session here", nil)
@@ -306,8 +376,10 @@
 		e.call.Result(map[string]string{"status": "closed", "session": players.SessionName(s.cfg.Front.Name, e.session)})
 	case playerGone:
 		for id := range e.conn.Sessions {
-			s.step(now, front.Leave{Session: id})
-			s.forget(id)
+			s.step(now, front.Detach{Session: id})
+			if !s.core.Holds(id) {
+				s.forget(id)
+			}
 		}
 	case connected:
 		s.desk.Connected(now, uint32(e.server), e.conn)
@@ -331,8 +403,16 @@
 
 // take takes a request. Its session id is known once the core has taken it.
 func (s *Server) take(now front.Time, e asked) {
+	if e.call.Conn.Left() { // nobody is there to be answered, and nothing was begun
+		e.call.Drop()
+		return
+	}
+	if s.waited(now, &e.ask) {
+		e.call.Fail(players.CodeRefused, "refused: busy", players.NoData{RetryAfterMs: s.comeBack() / policy.Millisecond})
+		return
+	}
 	s.handles++
-	e.ask.Player, e.ask.Draining = s.handles, s.leaving
+	e.ask.Player, e.ask.Draining, e.call.Handle = s.handles, s.leaving, s.handles
 	s.calls[s.handles] = e.call
 	before := s.core.Stats().Taken
 	effects := s.core.Step(now, e.ask)
@@ -340,11 +420,10 @@
 		id := s.core.LastID()
 		s.byID[id] = e.call
 		e.call.Conn.Sessions[id] = struct{}{}
-		if e.call.Conn.Left() { // it left before its request was taken: nobody would tell so any more
+		if e.call.Conn.Left() { // it left just now: nobody would tell so any more
 			s.settle(effects)
 			s.step(now, front.Leave{Session: id})
 			s.forget(id)
-			delete(s.calls, e.ask.Player)
 			return
 		}
 	}
@@ -360,6 +439,9 @@
 	}
 	for {
 		acts, news := s.desk.Take()
+		if len(s.later) > 0 {
+			news, s.later = append(news, s.later...), nil
+		}
 		if len(acts) == 0 && len(news) == 0 {
 			return
 		}
@@ -385,8 +467,23 @@
 	case front.Plays:
 		addr := s.desk.Address(e.Server)
 		if call := s.answering(e.Player); call != nil {
-			call.Result(players.PlaysResult{Status: "plays", Session: name(e.Session), Server: addr,
-				URI: "rtsp://" + addr + "/" + name(e.Session), Rung: e.Rung, Rate: s.cfg.Service.RungKB[e.Rung]})
+			call.Result(s.plays(name(e.Session), addr, e.Rung, e.Token))
+		}
+	case front.Resumed:
+		if call := s.answering(e.Player); call != nil {
+			if old := s.byID[e.Session]; old != nil {
+				delete(old.Conn.Sessions, e.Session)
+			}
+			s.byID[e.Session] = call
+			call.Conn.Sessions[e.Session] = struct{}{}
+			call.Result(s.plays(name(e.Session), s.desk.Address(e.Server), e.Rung, 0))
+			if call.Conn.Left() {
+				s.later = append(s.later, front.Detach{Session: e.Session})
+			}
+		}
+	case front.Unknown:
+		if call := s.answering(e.Player); call != nil {
+			call.Fail(players.CodeUnknownSession, "no such session here: open it anew", nil)
 		}
 	case front.Refused:
 		s.log.Debug().Uint64("session", e.Session).Msg("refused")
@@ -430,8 +527,19 @@
 	return call
 }
 
+func (s *Server) plays(session, addr string, rung int, token uint64) players.PlaysResult {
+	r := players.PlaysResult{Status: "plays", Session: session, Server: addr, URI: "rtsp://" + addr + "/" + session, Rung: rung,
+		Rate: s.cfg.Service.RungKB[rung]}
+	if token != 0 {
+		r.Token = strconv.FormatUint(token, 16)
+	}
+	return r
+}
+
 func (s *Server) forget(id uint64) {
 	if call := s.byID[id]; call != nil {
+		call.Drop() // if its answer was never given: its player is gone
+		delete(s.calls, call.Handle)
 		delete(call.Conn.Sessions, id)
 		delete(s.byID, id)
 	}
@@ -519,6 +627,7 @@
 	front.Stats
 	Open, Held, Attempts, Calls, QueuePeak int
 	Ready                                  int // servers that are listed ready
+	Handles, Kept                          int // calls that wait for an answer, sessions with a player
 	TurnedAway                             uint64
 }
 
@@ -526,7 +635,7 @@
 	held, calls := s.desk.Counts()
 	_, peak, turned := s.queue.stats()
 	return Snapshot{Stats: s.core.Stats(), Open: s.core.Open(), Held: s.core.Held(), Attempts: held, Calls: calls,
-		QueuePeak: peak, Ready: s.core.Ready(), TurnedAway: turned}
+		QueuePeak: peak, Ready: s.core.Ready(), TurnedAway: turned, Handles: len(s.calls), Kept: len(s.byID)}
 }
 
 // Inspect gives a snapshot; it fails if the front has left.
