--- a/cmd/tealledge/load.go
+++ b/cmd/tealledge/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"tealledge/internal/day"
 	"tealledge/internal/load"
+	"tealledge/internal/standin/playersim"
 )
 
 type loadCmd struct {
@@ -23,6 +25,7 @@
 	Shape   string        `help:"poisson, classes (thirty at once), ramp or closed." enum:"poisson,classes,ramp,closed" default:"poisson"`
 	HoldMin time.Duration `default:"1s"`
 	HoldMax time.Duration `default:"3s"`
+	Wait    time.Duration `help:"Each player gives up after this; 0: as its class says." default:"0"`
 	Bad     float64       `help:"Misbehaving players beside the good ones, as a share of them." default:"0"`
 	Titles  []string      `help:"Titles to ask for at a front of your own."`
 	Classes []string      `help:"Classes to ask for there."`
@@ -35,7 +38,7 @@
 
 func (c *loadCmd) Run(ctx context.Context) error {
 	p := load.Plan{Clients: c.Clients, Rate: c.Rate, Length: c.Length, Shape: load.Shape(c.Shape), Hold: [2]time.Duration{c.HoldMin, c.HoldMax},
-		Bad: c.Bad, Titles: c.Titles, Classes: c.Classes, Tenant: c.Tenant, Seed: c.Seed}
+		Bad: c.Bad, Wait: c.Wait, Titles: c.Titles, Classes: c.Classes, Tenant: c.Tenant, Seed: c.Seed}
 	if c.URL != "" {
 		addr, _, _ := strings.Cut(strings.TrimPrefix(c.URL, "ws://"), "/")
 		p.Front = func(int) (string, string) { return "front", addr }
@@ -135,6 +138,7 @@
 	Length  time.Duration `help:"Of each loop." default:"4s"`
 	Rounds  int           `help:"Rounds, front and echo in turn." default:"3"`
 	Held    int           `help:"Sessions held for the memory figure." default:"10000"`
+	Idle    int           `help:"Idle connections for their figure." default:"10000"`
 	CPU     string        `name:"cpuprofile" help:"Write a CPU profile of the front to this file." type:"path"`
 }
 
@@ -157,7 +161,8 @@
 	if c.CPU != "" {
 		command = []string{command[0], "serve", "--cpuprofile", c.CPU, "-c"}
 	}
-	w, err := day.Open(ctx, s, day.Options{Command: command, Dir: dir, Out: os.Stderr, NoRecord: true})
+	w, err := day.Open(ctx, s, day.Options{Command: command, Dir: dir, Out: os.Stderr, NoRecord: true,
+		Limits: "(limits (handshakes 100000))"})
 	if err != nil {
 		return err
 	}
@@ -176,6 +181,9 @@
 	front.Front = w.Front
 	bare.Front = func(int) (string, string) { return "echo", strings.TrimSuffix(at, "/") }
 	bare.Echo = true
+	if err := c.idle(ctx, w); err != nil {
+		return err
+	}
 	front.Shape = load.Poisson
 	if err := c.memory(ctx, front, w.Pid(0)); err != nil { // first, while the process is fresh
 		return err
@@ -217,6 +225,35 @@
 	return nil
 }
 
+// idle opens connections that say nothing and looks at the process.
+func (c *measureCmd) idle(ctx context.Context, w *day.World) error {
+	if c.Idle == 0 {
+		return nil
+	}
+	pid := w.Pid(0)
+	before := rssOf(pid)
+	var conns []net.Conn
+	defer func() {
+		for _, nc := range conns {
+			nc.Close()
+		}
+	}()
+	_, addr := w.Front(0)
+	for range c.Idle {
+		nc, err := playersim.Dial(ctx, addr)
+		if err != nil {
+			return fmt.Errorf("after %d connections: %w", len(conns), err)
+		}
+		conns = append(conns, nc)
+	}
+	time.Sleep(time.Second)
+	cpu := cpuOf(pid)
+	time.Sleep(5 * time.Second)
+	fmt.Printf("%d idle connections: %.1f kB each, %.1f%% of a core\n", len(conns), float64(rssOf(pid)-before)/1024/float64(len(conns)),
+		(cpuOf(pid)-cpu).Seconds()/5*100)
+	return nil
+}
+
 // memory holds sessions over a few connections and looks at the process meanwhile.
 func (c *measureCmd) memory(ctx context.Context, p load.Plan, pid int) error {
 	before, files := rssOf(pid), filesOf(pid)
--- a/cmd/tealledge/main.go
+++ b/cmd/tealledge/main.go
@@ -19,15 +19,16 @@
 )
 
 type cli struct {
-	Serve   serveCmd   `cmd:"" help:"Serve players by a settings file. SIGTERM leaves service."`
-	Check   checkCmd   `cmd:"" help:"Check a settings file; every mistake is told with its line and column."`
-	Demo    demoCmd    `cmd:"" help:"Run a list, media stand-ins and one front, and stay up."`
-	Play    playCmd    `cmd:"" help:"Open one session at a front and watch it for a while."`
-	Standin standinCmd `cmd:"" help:"Run a stand-in alone."`
-	Day     dayCmd     `cmd:"" help:"Play a scripted day against stand-ins and judge what crossed the sockets."`
-	Load    loadCmd    `cmd:"" help:"Load a front with players, open loop; without an address, against stand-ins of its own."`
-	Measure measureCmd `cmd:"" help:"Measure a front beside a bare WebSocket echo, in one run."`
-	Audit   auditCmd   `cmd:"" help:"Judge the records of a day."`
+	Serve    serveCmd    `cmd:"" help:"Serve players by a settings file. SIGTERM leaves service."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file; every mistake is told with its line and column."`
+	Demo     demoCmd     `cmd:"" help:"Run a list, media stand-ins and one front, and stay up."`
+	Play     playCmd     `cmd:"" help:"Open one session at a front and watch it for a while."`
+	Standin  standinCmd  `cmd:"" help:"Run a stand-in alone."`
+	Day      dayCmd      `cmd:"" help:"Play a scripted day against stand-ins and judge what crossed the sockets."`
+	Load     loadCmd     `cmd:"" help:"Load a front with players, open loop; without an address, against stand-ins of its own."`
+	Measure  measureCmd  `cmd:"" help:"Measure a front beside a bare WebSocket echo, in one run."`
+	Capacity capacityCmd `cmd:"" help:"Find the rate that a front carries, then load it past that, with and without its overload decisions."`
+	Audit    auditCmd    `cmd:"" help:"Judge the records of a day."`
 }
 
 func main() {
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -27,7 +27,9 @@
 	Dir      string   // keeps settings, states and records
 	Baseline string   // "": the decision module
 	Out      io.Writer
-	NoRecord bool // for measuring only: nothing is written down, nothing can be judged
+	Env      []string // more for the fronts' environment
+	Limits   string   // a (limits ...) form for the fronts
+	NoRecord bool     // for measuring only: nothing is written down, nothing can be judged
 }
 
 // world is a day under way.
@@ -262,6 +264,9 @@
 	}
 	path := filepath.Join(dir, "settings.sexp")
 	text := p.w.s.Settings(p.name, p.addr, p.w.list.Addr(), filepath.Join(dir, "state"), p.me, p.w.o.Baseline)
+	if p.w.o.Limits != "" {
+		text = strings.Replace(text, "(front ", "(front "+p.w.o.Limits+" ", 1)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return err
 	}
@@ -272,6 +277,7 @@
 	args := append(append([]string(nil), p.w.o.Command[1:]...), path)
 	p.cmd = exec.Command(p.w.o.Command[0], args...)
 	p.cmd.Stderr = log
+	p.cmd.Env = append(os.Environ(), p.w.o.Env...)
 	p.log = log
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -46,7 +46,8 @@
 	Bad       float64 // share of further clients that misbehave meanwhile
 	Reconnect time.Duration
 	Seed      int64
-	Echo      bool // the peer is an Echo
+	Echo      bool          // the peer is an Echo
+	Wait      time.Duration // each player gives up after; 0: as its class says
 }
 
 // Result is what came of it.
@@ -55,6 +56,9 @@
 	Kinds        map[string]int // plays, refused, failed, error, broken
 	Seconds      float64
 	Opened       float64 // answered requests a second
+	Goodput      float64 // that play, answered within a second, each second
+	Late         int     // answers after a second, or none
+	good         int
 	Latency      Quantiles
 	hist         *hdrhistogram.Histogram
 }
@@ -143,6 +147,7 @@
 	h, ms := r.res.hist, func(us int64) float64 { return float64(us) / 1000 }
 	r.res.Latency = Quantiles{ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(90)), ms(h.ValueAtQuantile(99)), ms(h.ValueAtQuantile(99.9)), ms(h.Max())}
 	r.res.Opened = float64(h.TotalCount()) / r.res.Seconds
+	r.res.Goodput = float64(r.res.good) / r.res.Seconds
 }
 
 // booked counts an answer.
@@ -151,6 +156,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.res.Kinds[kind]++
+	if kind == "plays" && took <= 1_000_000 {
+		r.res.good++
+	}
+	if took > 1_100_000 || kind == "broken" {
+		r.res.Late++
+	}
 	if kind != "broken" {
 		r.res.hist.RecordValue(min(max(took, 1), 60_000_000))
 	}
@@ -177,11 +188,14 @@
 	if r.plan.Tenant != "" {
 		m["tenant"] = r.plan.Tenant
 	}
+	if r.plan.Wait > 0 {
+		m["deadlineMs"] = r.plan.Wait.Milliseconds()
+	}
 	if r.plan.Top > 0 {
 		m["top"] = r.plan.Top
 	}
 	b, _ := json.Marshal(m)
-	return string(b), record.Event{Class: class, Title: r.plan.Titles[title], Viewer: playersim.Hash(name)}
+	return string(b), record.Event{Class: class, Title: r.plan.Titles[title], Viewer: playersim.Hash(name), Wait: int64(r.plan.Wait)}
 }
 
 func (r *Runner) hold() time.Duration {
@@ -301,7 +315,7 @@
 		fmt.Fprintf(&b, "  %-8s %d\n", k, r.Kinds[k])
 	}
 	l := r.Latency
-	fmt.Fprintf(&b, "due to answer, ms: p50 %.2f  p90 %.2f  p99 %.2f  p99.9 %.2f  max %.2f\n", l.P50, l.P90, l.P99, l.P999, l.Max)
+	fmt.Fprintf(&b, "  of them after a second or not at all: %d\ndue to answer, ms: p50 %.2f  p90 %.2f  p99 %.2f  p99.9 %.2f  max %.2f\n", r.Late, l.P50, l.P90, l.P99, l.P999, l.Max)
 	return b.String()
 }
 
