--- a/cmd/tealledge/load.go
+++ b/cmd/tealledge/load.go
@@ -181,13 +181,13 @@
 	front.Front = w.Front
 	bare.Front = func(int) (string, string) { return "echo", strings.TrimSuffix(at, "/") }
 	bare.Echo = true
-	if err := c.idle(ctx, w); err != nil {
-		return err
-	}
 	front.Shape = load.Poisson
 	if err := c.memory(ctx, front, w.Pid(0)); err != nil { // first, while the process is fresh
 		return err
 	}
+	if err := c.idle(ctx, w); err != nil {
+		return err
+	}
 	front.Shape = load.Closed
 	run := func(name string, p load.Plan, pid int) (*load.Result, float64, error) {
 		before := cpuOf(pid)
--- a/internal/audit/worth.go
+++ b/internal/audit/worth.go
@@ -170,6 +170,9 @@
 	b.WriteByte('\n')
 	row("set-ups, of them further attempts", n(r.Setups), n(r.Further))
 	row("open to answer p50, p99, max", ms(Quantile(r.Open, 0.5)), ms(Quantile(r.Open, 0.99)), ms(Quantile(r.Open, 1)))
+	if r.Worth == 0 { // players that did not say what they want, as a load run's
+		return b.String()
+	}
 	row("worth earned over worth asked", strconv.FormatFloat(r.Worth, 'f', 3, 64))
 	return b.String()
 }
