Several addresses per server: connections race, set-ups never do

Need: a media server may be reached by IPv4, IPv6 and a Unix socket; an address that is dark must cost no session and must not pass for a dead server.

--- a/decide/paths/paths.go
+++ b/decide/paths/paths.go
@@ -7,8 +7,11 @@
 package paths
 
 import (
+	"fmt"
 	"math"
+	"net/netip"
 	"slices"
+	"strings"
 
 	"tealledge/policy"
 )
@@ -54,6 +57,32 @@
 	worked    Time // when it last connected and answered
 }
 
+// Parse reads an address: HOST:PORT, [IPV6]:PORT, or the path of a Unix socket. An IPv4 address written as an IPv6 one
+// (RFC 4291 section 2.5.5.2) is the IPv4 address: two ways to write one address must not pass for two.
+func Parse(addr string) (Path, error) {
+	if strings.HasPrefix(addr, "/") {
+		if len(addr) > 107 { // sockaddr_un
+			return Path{}, fmt.Errorf("%.40q...: the path of a Unix socket holds 107 bytes at most", addr)
+		}
+		return Path{Addr: addr, Family: Unix}, nil
+	}
+	if ap, err := netip.ParseAddrPort(addr); err == nil {
+		ap = netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+		if ap.Port() == 0 {
+			return Path{}, fmt.Errorf("%q: no port", addr)
+		}
+		if ap.Addr().Is4() {
+			return Path{Addr: ap.String(), Family: IPv4}, nil
+		}
+		return Path{Addr: ap.String(), Family: IPv6}, nil
+	}
+	host, port, ok := strings.Cut(addr, ":")
+	if !ok || host == "" || port == "" || strings.ContainsAny(addr, " /[]") || strings.Contains(port, ":") {
+		return Path{}, fmt.Errorf("%q is no HOST:PORT and no path of a Unix socket", addr)
+	}
+	return Path{Addr: addr, Family: IPv4}, nil
+}
+
 // Set is the addresses of one server.
 type Set struct{ Paths []Path }
 
@@ -171,6 +200,14 @@
 	p.restUntil = now + p.rest
 }
 
+// Forgive forgets all failures: the server's process is a new one, and they say nothing of it.
+func (s *Set) Forgive() {
+	for i := range s.Paths {
+		p := &s.Paths[i]
+		p.failures, p.rest, p.restUntil = 0, 0, 0
+	}
+}
+
 // Broke books a connection's end. One that ends soon after it stood, or without ever answering, says that the path
 // is bad; after a long and useful life it says nothing.
 func (s *Set) Broke(i int, now, stood Time, answered bool) {
--- a/decide/paths/paths_test.go
+++ b/decide/paths/paths_test.go
@@ -168,3 +168,22 @@
 		t.Error(allowed, "at once in all")
 	}
 }
+
+func TestAddresses(t *testing.T) {
+	for in, want := range map[string]Path{
+		"10.0.0.1:554":          {Addr: "10.0.0.1:554", Family: IPv4},
+		"[::ffff:10.0.0.1]:554": {Addr: "10.0.0.1:554", Family: IPv4},
+		"[2001:db8:0::1]:554":   {Addr: "[2001:db8::1]:554", Family: IPv6},
+		"/run/media.sock":       {Addr: "/run/media.sock", Family: Unix},
+		"media-7:554":           {Addr: "media-7:554", Family: IPv4},
+	} {
+		if got, err := Parse(in); err != nil || got != want {
+			t.Errorf("%s: %+v, %v", in, got, err)
+		}
+	}
+	for _, in := range []string{"", "10.0.0.1", "10.0.0.1:", ":554", "10.0.0.1:0", "a:b:c", "http://x:1", "[::1:5", "/" + string(make([]byte, 200))} {
+		if got, err := Parse(in); err == nil {
+			t.Errorf("%q taken as %+v", in, got)
+		}
+	}
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -100,7 +100,8 @@
 	w.farm, err = mediasim.New(mediasim.Params{Ladder: set.RungKB, Slots: s.Slots, LinkKB: s.LinkKB, UplinkKB: s.UplinkKB, Uneven: s.Uneven,
 		Racks: set.Racks, Cells: set.Cells, SetupTime: s.SetupTime, ReportEvery: s.ReportEvery, NotesLate: second(set.SeeLate),
 		TellEvery: second(set.TellEvery), FullFrom: set.FullFrom, Inline: set.Inline, ColdSpan: second(set.ColdSpan), ColdFrom: set.ColdFrom,
-		FallTimes: set.ColdTimes, FallOver: second(set.FallSpan), Keep: s.Keep, Holds: s.holds, Seed: s.Seed}, s.Servers, w.rec)
+		FallTimes: set.ColdTimes, FallOver: second(set.FallSpan), Keep: s.Keep, Holds: s.holds, Seed: s.Seed,
+		Families: s.Families, Dir: w.o.Dir}, s.Servers, w.rec)
 	if err != nil {
 		return err
 	}
@@ -237,7 +238,7 @@
 	if len(w.s.Service.Zones) > 0 {
 		zone = w.s.Service.Zones[0]
 	}
-	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: zone, Kind: kind, Size: 1, Started: m.Started(), Health: health}
+	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: zone, Kind: kind, Size: 1, Started: m.Started(), Health: health, More: m.Addrs()[1:]}
 }
 
 func (w *world) viewer(a arrival) playersim.Viewer {
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -42,6 +42,7 @@
 	SetupTime       time.Duration
 	ReportEvery     time.Duration
 	Keep            time.Duration
+	Families        []string // further addresses of each server: ipv6, unix
 	Troubles        []Trouble
 	ServiceText     string // the (service ...) form as written
 	Service         *config.Config
@@ -59,6 +60,7 @@
 	Notice  time.Duration
 	Part    float64
 	Times   float64
+	Network string // tcp, tcp6 or unix
 }
 
 // Kinds of trouble, and what each means.
@@ -75,6 +77,9 @@
 	"sag":         "a rack's uplink gives only part of the usual",
 	"drain":       "servers are listed as draining, die after the notice and come back cold",
 	"redirect":    "servers say themselves that they leave, then come back cold",
+	"path-silent": "one address of servers accepts and never answers",
+	"path-resets": "one address of servers accepts and resets",
+	"path-stalls": "one address of servers answers OPTIONS but no set-up",
 	"list-lag":    "changes of the list come later",
 	"list-fail":   "calls to the list fail",
 	"list-empty":  "the list looks empty",
@@ -206,6 +211,14 @@
 				"setup":     span(&s.SetupTime, time.Minute),
 				"report":    span(&s.ReportEvery, time.Minute),
 				"keep":      span(&s.Keep, time.Minute),
+				"families": func(n *sexp.Node) {
+					for _, a := range n.Args() {
+						if a.Text != "ipv6" && a.Text != "unix" {
+							r.Fail(a, "families: %q is none of ipv6, unix", a.Text)
+						}
+						s.Families = append(s.Families, a.Text)
+					}
+				},
 			})
 		},
 	})
@@ -218,7 +231,7 @@
 		return
 	}
 	f := n.List[2]
-	t := Trouble{Kind: f.Head(), Servers: 1, Part: 0.5, Times: 2, For: 5 * time.Second, Lag: 2 * time.Second, Notice: time.Second}
+	t := Trouble{Kind: f.Head(), Servers: 1, Part: 0.5, Times: 2, For: 5 * time.Second, Lag: 2 * time.Second, Notice: time.Second, Network: "tcp6"}
 	t.At = r.Span(&sexp.Node{Pos: n.Pos, IsList: true, List: n.List[:2]}, 0, time.Hour)
 	if Kinds[t.Kind] == "" {
 		r.Fail(f, "no trouble %q", t.Kind)
@@ -231,6 +244,7 @@
 		"for":     func(n *sexp.Node) { t.For = r.Span(n, 0, time.Hour) },
 		"lag":     func(n *sexp.Node) { t.Lag = r.Span(n, 0, time.Minute) },
 		"notice":  func(n *sexp.Node) { t.Notice = r.Span(n, 0, time.Minute) },
+		"network": func(n *sexp.Node) { t.Network = r.Choice(n, "tcp", "tcp6", "unix") },
 		"part":    func(n *sexp.Node) { t.Part = r.Num(n, 0, 1) },
 		"times":   func(n *sexp.Node) { t.Times = r.Num(n, 1, 100) },
 	})
--- a/internal/day/troubles.go
+++ b/internal/day/troubles.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -45,6 +46,16 @@
 		w.drain(t, wait, func(m *mediasim.Server) { w.list.Set(w.entry(m, "draining")) })
 	case "redirect":
 		w.drain(t, wait, (*mediasim.Server).Redirect)
+	case "path-silent", "path-resets", "path-stalls":
+		servers := w.take(t.Servers)
+		for _, m := range servers {
+			m.Path(t.Network, strings.TrimPrefix(t.Kind, "path-"))
+		}
+		wait(t.For)
+		for _, m := range servers {
+			m.Path(t.Network, mediasim.PathGood)
+			w.give(m)
+		}
 	case "sag":
 		w.farm.Sag(t.Rack, t.Part)
 		wait(t.For)
--- a/internal/exchange/arrive.go
+++ b/internal/exchange/arrive.go
@@ -13,17 +13,12 @@
 // Redirected tells that a server said itself that it leaves (REDIRECT, RFC 7826 section 13.10).
 type Redirected struct{ Server uint32 }
 
-// Connected tells that a dial came through. What waited for it is written.
-func (d *Desk) Connected(now Time, server uint32, conn uint64) {
-	d.now = now
-	l := d.lines[server]
-	if l == nil || l.conn != conn || l.state != dialing {
-		d.acts = append(d.acts, Act{Server: server, Conn: conn, Close: true})
-		return
-	}
-	l.state, l.readAt, l.sent = up, now, 0
+// stands has a connection that won its race carry the line from now on. What waited for it is written.
+func (d *Desk) stands(l *line, r *runner) {
+	l.state, l.conn, l.path = up, r.conn, r.addr
+	l.stoodAt, l.readAt, l.sent, l.seq, l.proven = d.now, d.now, r.sent, r.seq, true
 	for _, a := range l.live { // streams of a connection that was lost: are they still there?
-		a.sentOn = conn
+		a.sentOn = l.conn
 		m := rtsp.Message{Method: rtsp.GetParameter, URI: d.uri(l, a.setup.Title),
 			Headers: []rtsp.Header{{Name: "Session", Value: a.accepted}}}
 		d.push(l, d.request(l, &m, call{kind: callVerify, a: a}, nil))
@@ -45,13 +40,8 @@
 	}
 }
 
-// DialFailed tells that a connection could not be had: refused, unreachable or not in time.
-func (d *Desk) DialFailed(now Time, server uint32, conn uint64) {
-	d.now = now
-	l := d.lines[server]
-	if l == nil || l.conn != conn || l.state != dialing {
-		return
-	}
+// unreachable ends what waited for a server none of whose addresses could be had.
+func (d *Desk) unreachable(l *line) {
 	l.state, l.doomed = down, nil // a process that is gone plays nothing
 	d.withdraw(l, fate.DialRefused)
 	for _, a := range slices.Clone(l.live) { // its streams can't be asked for: they are lost
@@ -59,7 +49,7 @@
 	}
 	if l.probing {
 		l.probing = false
-		d.news = append(d.news, front.Probed{Server: server, Status: policy.NoConnect, Took: now - l.probeAt})
+		d.news = append(d.news, front.Probed{Server: l.server, Status: policy.NoConnect, Took: d.now - l.probeAt})
 	}
 }
 
@@ -76,18 +66,32 @@
 // never left this machine.
 func (d *Desk) Lost(now Time, server uint32, conn uint64, begun uint64) {
 	d.now = now
-	if l := d.lines[server]; l != nil && l.conn == conn && l.state == up {
-		d.drop(l, begun, false)
+	l := d.lines[server]
+	switch {
+	case l == nil:
+	case l.state == up && l.conn == conn:
+		d.drop(l, begun, false, false)
+	default:
+		d.fell(l, conn)
 	}
 }
 
-// drop ends a line's connection. Streams that play are looked for on a new one, unless the process is gone.
-func (d *Desk) drop(l *line, begun uint64, gone bool) {
+// drop ends a line's connection. Streams that play are looked for on a new one, unless the process is gone. silent
+// tells that the connection was closed for saying nothing.
+func (d *Desk) drop(l *line, begun uint64, gone, silent bool) {
 	if l.state == down {
 		return
 	}
-	d.acts = append(d.acts, Act{Server: l.server, Conn: l.conn, Close: true})
 	wasUp := l.state == up
+	if wasUp {
+		d.acts = append(d.acts, Act{Server: l.server, Conn: l.conn, Close: true})
+		if i := l.pathIndex(l.path); i >= 0 && silent {
+			l.set.Failed(i, d.now)
+		} else if i >= 0 && !gone {
+			l.set.Broke(i, d.now, l.stoodAt, l.proven)
+		}
+	}
+	d.scratch(l)
 	l.state = down
 	calls, seqs := l.calls, l.seqs
 	l.calls, l.seqs = map[uint32]*call{}, nil
@@ -119,7 +123,7 @@
 	if gone {
 		d.withdraw(l, fate.Broke)
 	}
-	if len(l.live) > 0 || len(l.waiting) > 0 {
+	if len(l.live) > 0 || len(l.waiting) > 0 || len(l.doomed) > 0 {
 		d.dial(l)
 	}
 }
@@ -138,7 +142,11 @@
 func (d *Desk) Received(now Time, server uint32, conn uint64, m *rtsp.Message) {
 	d.now = now
 	l := d.lines[server]
-	if l == nil || l.conn != conn || l.state != up {
+	if l == nil {
+		return
+	}
+	if l.conn != conn || l.state != up {
+		d.spoke(l, conn)
 		return
 	}
 	l.readAt = now
@@ -288,6 +296,7 @@
 	d.now = now
 	for _, id := range d.order {
 		l := d.lines[id]
+		d.tickPaths(l)
 		if l.state == dialing && l.probing && now-l.probeAt >= d.cfg.ProbeWait {
 			l.probing = false
 			d.news = append(d.news, front.Probed{Server: id, Status: policy.NoConnect, Took: now - l.probeAt})
@@ -305,7 +314,7 @@
 		// Danger: a peer that died without a word would keep its connection, and each set-up on it would wait out
 		// its time. Harm: streams of a server that only stalls are looked for on a new connection.
 		case len(l.calls) > 0 && now-max(l.callAt, l.readAt) >= d.cfg.Stall:
-			d.drop(l, l.sent, false)
+			d.drop(l, l.sent, false, true)
 		case len(l.calls) == 0 && now-l.readAt >= d.cfg.KeepAlive:
 			m := rtsp.Message{Method: rtsp.Options, URI: "rtsp://" + l.addr + "/"}
 			d.push(l, d.request(l, &m, call{kind: callAlive}, nil))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"tealledge/decide/fate"
+	"tealledge/decide/paths"
 	"tealledge/internal/front"
 	"tealledge/internal/rtsp"
 	"tealledge/policy"
@@ -37,7 +38,10 @@
 	Stall     Time // a connection with calls waiting and nothing read for so long is closed
 	KeepAlive Time // an idle connection is checked with OPTIONS so often
 	TitleName func(uint64) string
-	MostOut   int // bytes that may wait to be written on one connection; past it the connection is closed
+	Connect   Time   // a connection must stand, and have answered once, within
+	IdleClose Time   // a connection without sessions that was not used for so long is closed; 0: never
+	Aims      []Time // of the classes: a connect that takes too long of one is given up for the next holder
+	Draw      func() float64
 }
 
 // Act is what the shell is to do with a connection. Exactly one of Dial, Close and Bytes is set.
@@ -45,6 +49,7 @@
 	Server uint32
 	Conn   uint64
 	Dial   string // address to connect to
+	Within Time   // for a dial
 	Close  bool
 	Bytes  []byte
 }
@@ -58,6 +63,7 @@
 	conns  uint64
 	pipes  uint64
 	played map[uint64]*attempt // by session, those out or playing
+	pace   paths.Pace
 	acts   []Act
 	news   []front.Event
 }
@@ -74,7 +80,15 @@
 // line is the dialogue with one server.
 type line struct {
 	server  uint32
-	addr    string
+	addr    string // told to players
+	listed  bool
+	set     paths.Set
+	path    string // address that the connection goes to
+	stoodAt Time
+	proven  bool // it was answered on
+	usedAt  Time // last set-up written
+	race    *race
+	check   *runner // a connect alone, to an address that rested
 	started Time
 	state   state
 	conn    uint64
@@ -140,10 +154,11 @@
 	return acts, news
 }
 
-// Server is an entry of the server list with its address.
+// Server is an entry of the server list with its addresses; Addr is the one told to players.
 type Server struct {
 	ID      uint32
 	Addr    string
+	Paths   []paths.Path
 	Started Time
 }
 
@@ -152,6 +167,9 @@
 func (d *Desk) Listed(now Time, servers []Server) {
 	d.now = now
 	seen := map[uint32]bool{}
+	for _, l := range d.lines {
+		l.listed = false
+	}
 	for _, s := range servers {
 		seen[s.ID] = true
 		l := d.lines[s.ID]
@@ -160,13 +178,23 @@
 			d.lines[s.ID] = l
 			i, _ := slices.BinarySearch(d.order, s.ID)
 			d.order = slices.Insert(d.order, i, s.ID)
+			l.set.Update(s.Paths)
+			l.listed = true
 			continue
 		}
 		restarted := s.Started > l.started && l.started > 0
-		if l.addr != s.Addr || restarted {
-			d.drop(l, l.sent, restarted)
+		changed := l.set.Update(s.Paths)
+		l.addr, l.started, l.listed = s.Addr, s.Started, true
+		if restarted {
+			// Same addresses, another process: replies of the old one are not the new one's.
+			d.pace.Restarted(l.server, now, d.cfg.Draw())
+			l.set.Forgive()
+			d.drop(l, l.sent, true, false)
+		} else if changed && l.state == up && l.pathIndex(l.path) < 0 {
+			d.drop(l, l.sent, false, false) // its address is gone; streams are looked for on another
+		} else if changed && l.state == dialing {
+			d.again(l)
 		}
-		l.addr, l.started = s.Addr, s.Started
 	}
 	for _, id := range slices.Clone(d.order) {
 		if l := d.lines[id]; !seen[id] && l.state == down && len(l.live) == 0 && len(l.waiting) == 0 {
@@ -212,8 +240,8 @@
 	d.played[e.Session] = a
 	l := d.lines[e.Server]
 	switch {
-	case l == nil || l.addr == "":
-		d.end(a, policy.NoConnect, nil)
+	case l == nil || len(l.set.Paths) == 0:
+		d.end(a, policy.NoConnect, nil) // listed with no address at all
 	case l.state == up:
 		d.write(l, a)
 	default:
@@ -222,15 +250,6 @@
 	}
 }
 
-func (d *Desk) dial(l *line) {
-	if l.state != down {
-		return
-	}
-	d.conns++
-	l.state, l.conn = dialing, d.conns
-	d.acts = append(d.acts, Act{Server: l.server, Conn: l.conn, Dial: l.addr})
-}
-
 func (d *Desk) uri(l *line, title uint64) string {
 	return "rtsp://" + l.addr + "/" + d.cfg.TitleName(title)
 }
@@ -238,6 +257,7 @@
 // write puts SETUP and PLAY on the connection.
 func (d *Desk) write(l *line, a *attempt) {
 	d.pipes++
+	l.usedAt = d.now
 	a.pipe, a.sentOn = d.pipes, l.conn
 	pipe, uri := strconv.FormatUint(a.pipe, 10), d.uri(l, a.setup.Title)
 	m := rtsp.Message{Method: rtsp.Setup, URI: uri, Headers: []rtsp.Header{
@@ -359,7 +379,7 @@
 
 func (d *Desk) probe(server uint32) {
 	l := d.lines[server]
-	if l == nil || l.addr == "" {
+	if l == nil || len(l.set.Paths) == 0 {
 		d.news = append(d.news, front.Probed{Server: server, Status: policy.NoConnect})
 		return
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"tealledge/decide/fate"
+	"tealledge/decide/paths"
 	"tealledge/internal/front"
 	"tealledge/internal/rtsp"
 	"tealledge/policy"
@@ -22,6 +23,7 @@
 	wrote []byte
 	closd bool
 	dials int
+	base  int // bytes written before the set-up
 	news  []front.Event
 	dec   *rtsp.Decoder // of what it wrote
 }
@@ -29,8 +31,8 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, now: policy.Second, dec: &rtsp.Decoder{}, d: New(Config{Front: "f1",
 		Fields: []policy.Field{policy.FieldLink, policy.FieldUplink}, ProbeWait: policy.Second / 4, Stall: 3 * policy.Second,
-		KeepAlive: 10 * policy.Second, TitleName: func(t uint64) string { return fmt.Sprint("t", t) }})}
-	b.d.Listed(b.now, []Server{{ID: 1, Addr: addr}})
+		KeepAlive: 10 * policy.Second, Connect: policy.Second / 4, Draw: func() float64 { return 0 }, TitleName: func(t uint64) string { return fmt.Sprint("t", t) }})}
+	b.d.Listed(b.now, listed(0, addr))
 	return b
 }
 
@@ -56,7 +58,25 @@
 	b.take()
 }
 
-func (b *bench) connect() { b.d.Connected(b.now, 1, b.conn); b.take() }
+// listed is server 1 at some addresses.
+func listed(started Time, addrs ...string) []Server {
+	s := Server{ID: 1, Addr: addrs[0], Started: started}
+	for _, a := range addrs {
+		s.Paths = append(s.Paths, paths.Path{Addr: a, Family: paths.IPv4})
+	}
+	return []Server{s}
+}
+
+// connect has the dial come through and the first sign of life be answered. What is written counts from there.
+func (b *bench) connect() {
+	b.d.Connected(b.now, 1, b.conn)
+	b.take()
+	if m, _ := b.dec.Next(); m == nil || m.Method != rtsp.Options {
+		return // nobody waits for it
+	}
+	b.base, b.wrote = len(b.wrote), nil
+	b.reply(&rtsp.Message{Status: 200, CSeq: 1})
+}
 
 func (b *bench) lost(begun uint64) { b.d.Lost(b.now, 1, b.conn, begun); b.take() }
 
@@ -125,7 +145,7 @@
 		b := newBench(t)
 		b.setup(1)
 		b.connect()
-		b.lost(uint64(begun))
+		b.lost(uint64(b.base + begun))
 		want := policy.ResetConn
 		if begun < setupEnd {
 			want = policy.NoConnect // no whole SETUP can have reached the server
@@ -134,9 +154,9 @@
 			t.Errorf("lost with %d of %d bytes begun: %d, want %d", begun, total, e.Status, want)
 		}
 	}
-	replies := string((&rtsp.Message{Status: 200, CSeq: 1}).Set("Session", "q;timeout=4").Append(nil))
+	replies := string((&rtsp.Message{Status: 200, CSeq: 2}).Set("Session", "q;timeout=4").Append(nil))
 	firstEnd := len(replies)
-	replies += string((&rtsp.Message{Status: 200, CSeq: 2}).Append(nil))
+	replies += string((&rtsp.Message{Status: 200, CSeq: 3}).Append(nil))
 	for _, cause := range []string{"break", "time-out"} {
 		for cut := 0; cut <= len(replies); cut++ {
 			b := newBench(t)
@@ -193,7 +213,7 @@
 		"time-out":            {func(b *bench) { b.d.Do(b.now, front.Abandon{Session: 1, Server: 1, Cause: fate.Expired}) }, policy.NoConnect},
 		"player left":         {func(b *bench) { b.d.Do(b.now, front.Abandon{Session: 1, Server: 1, Cause: fate.Withdrawn}) }, policy.Moot},
 		"drain notice":        {func(b *bench) { b.d.Do(b.now, front.Withdraw{Server: 1}) }, policy.Moot},
-		"another process now": {func(b *bench) { b.d.lines[1].started = 1; b.d.Listed(b.now, []Server{{1, addr, 9}}) }, policy.NoConnect},
+		"another process now": {func(b *bench) { b.d.lines[1].started = 1; b.d.Listed(b.now, listed(9, addr)) }, policy.NoConnect},
 	} {
 		b := newBench(t)
 		b.setup(1)
@@ -221,8 +241,8 @@
 		b := newBench(t)
 		b.setup(1)
 		b.connect()
-		b.reply((&rtsp.Message{Status: c.setup, CSeq: 1}).Set("Session", "q"))
-		b.reply(&rtsp.Message{Status: c.play, CSeq: 2})
+		b.reply((&rtsp.Message{Status: c.setup, CSeq: 2}).Set("Session", "q"))
+		b.reply(&rtsp.Message{Status: c.play, CSeq: 3})
 		if e := only[front.Ended](b); e.Status != c.want {
 			t.Errorf("%d then %d: %d, want %d", c.setup, c.play, e.Status, c.want)
 		}
@@ -239,9 +259,9 @@
 	b.d.Do(b.now, front.Abandon{Session: 1, Server: 1, Cause: fate.Expired})
 	b.take()
 	only[front.Ended](b)
-	b.reply((&rtsp.Message{Status: 200, CSeq: 1}).Set("Session", "q"))
-	b.reply(&rtsp.Message{Status: 200, CSeq: 2})
-	b.reply(&rtsp.Message{Status: 455, CSeq: 3}) // the pipelined TEARDOWN was not understood
+	b.reply((&rtsp.Message{Status: 200, CSeq: 2}).Set("Session", "q"))
+	b.reply(&rtsp.Message{Status: 200, CSeq: 3})
+	b.reply(&rtsp.Message{Status: 455, CSeq: 4}) // the pipelined TEARDOWN was not understood
 	if len(b.news) > 0 {
 		t.Fatal(b.news)
 	}
@@ -261,7 +281,7 @@
 		"still there":   {func(b *bench) { b.connect(); b.reply(&rtsp.Message{Status: 200, CSeq: b.last().CSeq}) }, false},
 		"not known":     {func(b *bench) { b.connect(); b.reply(&rtsp.Message{Status: 454, CSeq: b.last().CSeq}) }, true},
 		"not reachable": {func(b *bench) { b.d.DialFailed(b.now, 1, b.conn) }, true},
-		"new process":   {func(b *bench) { b.d.lines[1].started = 1; b.d.Listed(b.now, []Server{{1, addr, 9}}) }, true},
+		"new process":   {func(b *bench) { b.d.lines[1].started = 1; b.d.Listed(b.now, listed(9, addr)) }, true},
 	} {
 		b := newBench(t)
 		b.plays(1)
@@ -296,7 +316,7 @@
 		b := newBench(t)
 		b.setup(1)
 		b.connect()
-		b.reply((&rtsp.Message{Status: 200, CSeq: 1}).Set("Session", "q"))
+		b.reply((&rtsp.Message{Status: 200, CSeq: 2}).Set("Session", "q"))
 		lose(b)
 		b.lost(b.d.lines[1].sent)
 		only[front.Ended](b)
@@ -360,7 +380,7 @@
 	b.d.Do(b.now, front.Probe{Server: 1})
 	b.take()
 	b.connect()
-	b.reply(&rtsp.Message{Status: 200, CSeq: 1, Body: []byte("link: 1.5\r\nuplink: 0.1\r\n")})
+	b.reply(&rtsp.Message{Status: 200, CSeq: 2, Body: []byte("link: 1.5\r\nuplink: 0.1\r\n")})
 	if p := only[front.Probed](b); p.Status != policy.OK || p.Report[0] != 1.5 {
 		t.Fatal(p)
 	}
@@ -371,7 +391,7 @@
 	if p := only[front.Probed](b); p.Status != policy.TimedOut {
 		t.Fatal(p)
 	}
-	b.reply(&rtsp.Message{Status: 200, CSeq: 2})
+	b.reply(&rtsp.Message{Status: 200, CSeq: 3})
 	if len(b.news) > 0 {
 		t.Fatal("a late probe is told twice")
 	}
@@ -381,3 +401,88 @@
 		t.Fatal(p)
 	}
 }
+
+// A race of two addresses: whatever the order in which they come through, one connection carries all set-ups and the
+// other is closed without ever having carried one.
+func TestARaceHasOneWinnerAndTheOtherCarriesNothing(t *testing.T) {
+	for _, lateFirst := range []bool{false, true} {
+		b := newBench(t)
+		b.d.Listed(b.now, listed(0, "a:1", "b:1"))
+		b.setup(1)
+		first := b.conn
+		b.now += 100 * policy.Millisecond
+		b.d.Tick(b.now)
+		b.take()
+		second := b.conn
+		if second == first {
+			t.Fatal("the second address was not started")
+		}
+		b.d.Connected(b.now, 1, first)
+		b.d.Connected(b.now, 1, second)
+		b.take()
+		winner, loser := first, second
+		if lateFirst {
+			winner, loser = second, first
+		}
+		b.wrote = nil
+		b.d.Received(b.now, 1, winner, &rtsp.Message{Status: 200, CSeq: 1})
+		acts, _ := b.d.Take()
+		setups, closed := 0, false
+		for _, a := range acts {
+			if len(a.Bytes) > 0 {
+				setups += strings.Count(string(a.Bytes), "SETUP ")
+				if a.Conn != winner {
+					t.Error("written on the loser")
+				}
+			}
+			closed = closed || a.Close && a.Conn == loser
+		}
+		if rests := b.d.Paths(1).Paths[0].Resting(b.now); rests != lateFirst {
+			t.Errorf("the address that lost with a head start rests: %v", rests)
+		}
+		if setups != 1 || !closed {
+			t.Errorf("%d set-ups, loser closed %v", setups, closed)
+		}
+		b.d.Received(b.now, 1, loser, &rtsp.Message{Status: 200, CSeq: 1}) // its answer comes late
+		if acts, news := b.d.Take(); len(acts)+len(news) > 0 {
+			t.Error("a late answer did something:", acts, news)
+		}
+	}
+}
+
+func TestAnAddressThatRestedIsTriedByAConnectAlone(t *testing.T) {
+	b := newBench(t)
+	b.d.Listed(b.now, listed(0, "a:1", "b:1"))
+	b.setup(1)
+	b.d.DialFailed(b.now, 1, b.conn) // a refuses, b is started at once
+	b.take()
+	b.connect()
+	b.last()
+	b.now += 1200 * policy.Millisecond
+	dials := b.dials
+	b.d.Tick(b.now)
+	b.take()
+	if b.dials != dials+1 {
+		t.Fatal("the address that rested is not looked at")
+	}
+	b.wrote = nil
+	b.d.Connected(b.now, 1, b.conn)
+	b.take()
+	if text := string(b.wrote); strings.Count(text, "OPTIONS") != 1 || strings.Contains(text, "SETUP") {
+		t.Fatalf("%q", text)
+	}
+	b.d.Received(b.now, 1, b.conn, &rtsp.Message{Status: 200, CSeq: 1})
+	b.take()
+	if b.d.Paths(1).Paths[0].Resting(b.now) || b.d.lines[1].check != nil {
+		t.Error("not proved")
+	}
+}
+
+func TestAServerWithNoAddressIsToldSo(t *testing.T) {
+	b := newBench(t)
+	b.d.Listed(b.now, []Server{{ID: 1}})
+	b.setup(1)
+	if e := only[front.Ended](b); e.Status != policy.NoConnect {
+		t.Fatal(e)
+	}
+}
--- a/internal/media/media.go
+++ b/internal/media/media.go
@@ -65,7 +65,7 @@
 
 func (l *Links) dial(a exchange.Act) {
 	defer l.dials.Done()
-	conn, err := netpoll.DialConnection("tcp", a.Dial, l.wait)
+	conn, err := connect(a.Dial, min(l.wait, time.Duration(a.Within)))
 	if err != nil {
 		l.mu.Lock()
 		l.Failures++
@@ -123,6 +123,13 @@
 	}
 }
 
+// Dials tells how many connections were tried.
+func (l *Links) Dials() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Dialed
+}
+
 // Close closes all connections, once what waits on them is written, and waits for dials under way.
 func (l *Links) Close() {
 	l.mu.Lock()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,10 +29,11 @@
 )
 
 const (
-	batchMost  = 256                   // events that the owner takes before it looks at its timers
-	deskEvery  = 50 * time.Millisecond // how often the desk looks at its connections
-	closeMost  = time.Second           // how long a front that leaves waits for its last teardowns
-	mediaBytes = 1 << 20               // bytes that may wait on one server's connection
+	batchMost  = 256                          // events that the owner takes before it looks at its timers
+	deskEvery  = 50 * time.Millisecond        // how often the desk looks at its connections
+	closeMost  = time.Second                  // how long a front that leaves waits for its last teardowns
+	idleClose  = front.Time(60 * time.Second) // a server connection without sessions is closed after
+	mediaBytes = 1 << 20                      // bytes that may wait on one server's connection
 )
 
 // Server is one front.
@@ -95,9 +97,14 @@
 		FirstID:      seed / uint64(time.Millisecond) << 12 & (1<<52 - 1), // above every id of an earlier start
 		AnswerMargin: policy.Time(cfg.Front.AnswerMargin), LastLine: policy.Time(cfg.Front.LastLine),
 		MovedFor: policy.Time(cfg.Front.MovedFor), MovedMost: 10_000, ResumeFor: policy.Time(cfg.Front.ResumeFor)})
+	var aims []front.Time
+	for _, k := range cfg.Service.Classes {
+		aims = append(aims, k.Aim)
+	}
 	s.desk = exchange.New(exchange.Config{Front: cfg.Front.Name, Fields: cfg.Service.Fields,
 		ProbeWait: policy.Time(cfg.Front.ProbeWait), Stall: policy.Time(cfg.Front.Stall),
-		KeepAlive: policy.Time(cfg.Front.KeepAlive), TitleName: s.titleName})
+		KeepAlive: policy.Time(cfg.Front.KeepAlive), TitleName: s.titleName, Connect: cfg.Service.ConnectWait, IdleClose: idleClose,
+		Aims: aims, Draw: rand.Float64})
 	s.links = media.New(sink{s}, time.Duration(cfg.Service.ConnectWait), cfg.Front.WriteWait, mediaBytes)
 	names := serverlist.Names{Kinds: cfg.Kinds, Zones: cfg.Zones}
 	s.cache = serverlist.Cache{Dir: cfg.Front.StateDir, Names: names}
@@ -316,7 +323,7 @@
 			continue
 		}
 		s.settle(s.core.Advance(now))
-		if now >= deskAt {
+		if at, racing := s.desk.Next(); now >= deskAt || racing && now >= at {
 			deskAt = now + front.Time(deskEvery)
 			s.desk.Tick(now)
 			s.settle(nil)
@@ -335,7 +342,7 @@
 			if _, calls := s.desk.Counts(); calls == 0 || now >= closeBy {
 				st := s.core.Stats()
 				s.log.Info().Uint64("taken", st.Taken).Uint64("plays", st.Plays).Uint64("refused", st.Refused).
-					Uint64("failed", st.Failed).Uint64("faults", st.Faults).Msg("left service")
+					Uint64("failed", st.Failed).Uint64("faults", st.Faults).Uint64("attempts", st.Attempts).Int("dials", s.links.Dials()).Msg("left service")
 				return
 			}
 		}
@@ -346,6 +353,9 @@
 		if at, ok := s.core.Next(); ok {
 			wait = min(wait, time.Duration(at-now))
 		}
+		if at, ok := s.desk.Next(); ok {
+			wait = min(wait, time.Duration(at-now))
+		}
 		if wait <= 0 {
 			continue
 		}
@@ -572,13 +582,13 @@
 		return
 	}
 	s.doubt = false
-	byID := make(map[uint32]string, len(a.Entries))
+	byID := make(map[uint32]serverlist.Entry, len(a.Entries))
 	for _, e := range a.Entries {
-		byID[e.Server] = e.Addr
+		byID[e.Server] = e
 	}
 	out := make([]serverlist.Entry, 0, len(list))
 	for _, e := range list {
-		out = append(out, serverlist.Entry{Entry: e, Addr: byID[e.Server]})
+		out = append(out, serverlist.Entry{Entry: e, Addr: byID[e.Server].Addr, Paths: byID[e.Server].Paths})
 	}
 	s.believe(policy.ListFull, out, now)
 	s.group.Add(1)
@@ -596,7 +606,7 @@
 	var entries []policy.Entry
 	ready := 0
 	for _, e := range list {
-		servers = append(servers, exchange.Server{ID: e.Server, Addr: e.Addr, Started: e.Started})
+		servers = append(servers, exchange.Server{ID: e.Server, Addr: e.Addr, Paths: e.Paths, Started: e.Started})
 		entries = append(entries, e.Entry)
 		if e.Health == policy.Ready {
 			ready++
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -59,7 +59,10 @@
 	done chan error
 }
 
-func newSite(t *testing.T, more string) *site {
+func newSite(t *testing.T, more string) *site { t.Helper(); return newSiteWith(t, more) }
+
+// newSiteWith has media servers that are reached by further families too.
+func newSiteWith(t *testing.T, more string, families ...string) *site {
 	t.Helper()
 	x := &site{t: t, rec: record.Memory(), dir: t.TempDir()}
 	cfg, err := config.Parse("t", x.settings("127.0.0.1:1", more))
@@ -69,7 +72,8 @@
 	x.rec.Add(rules(cfg).Event())
 	if x.farm, err = mediasim.New(mediasim.Params{Ladder: cfg.Service.RungKB, Slots: 2000, LinkKB: 1e6, UplinkKB: 3e6, Racks: 1, Cells: 3,
 		SetupTime: time.Millisecond, ReportEvery: 50 * time.Millisecond, NotesLate: 200 * time.Millisecond, Inline: true,
-		Keep: 400 * time.Millisecond, Seed: 1}, 3, x.rec); err != nil {
+		Keep: 400 * time.Millisecond, Seed: 1,
+		Families: families, Dir: x.dir}, 3, x.rec); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(x.farm.Close)
@@ -85,7 +89,7 @@
 }
 
 func listed(m *mediasim.Server, health string) listsim.Server {
-	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: "z", Kind: "std", Size: 1, Started: m.Started(), Health: health}
+	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: "z", Kind: "std", Size: 1, Started: m.Started(), Health: health, More: m.Addrs()[1:]}
 }
 
 func rules(cfg *config.Config) audit.Rules {
@@ -348,22 +352,37 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := newSite(t, "")
+			x.player().open("safe", "b") // the connection to its only holder stands
 			for _, m := range x.farm.Servers() {
 				m.Fault(fault)
 			}
-			if a := x.player().open("paid", "a"); a.Error == nil || a.Error.Code != -32002 {
-				t.Fatalf("%+v", a)
+			if a := x.player().open("paid", "b"); a.Error == nil || a.Error.Code != -32002 {
+				t.Fatalf("%+v", a.Error)
 			}
 			for _, m := range x.farm.Servers() {
 				m.Fault(func(f *mediasim.Faults) { *f = mediasim.Faults{} })
 			}
-			if r := x.judge(); r.Setups != 1 {
+			if r := x.judge(); r.Setups != 2 {
 				t.Fatal(r.Setups, "set-ups")
 			}
 		})
 	}
 }
 
+// A server that accepts connections and says nothing is never sent a set-up: the paid one provably never ran.
+func TestAPaidSetUpIsRefusedWhereNoServerEverAnswered(t *testing.T) {
+	x := newSite(t, "")
+	for _, m := range x.farm.Servers() {
+		m.Fault(func(f *mediasim.Faults) { f.Stalled = true })
+	}
+	if a := x.player().open("paid", "a"); a.Error == nil || a.Error.Code != -32001 {
+		t.Fatalf("%+v", a.Error)
+	}
+	if r := x.judge(); r.Setups != 0 {
+		t.Fatal(r.Setups, "set-ups")
+	}
+}
+
 func TestPlayersThatLeaveMidRequestLeaveNoStream(t *testing.T) {
 	x := newSite(t, "")
 	for i := range 30 {
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -17,17 +18,43 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/consul/api"
 
+	"tealledge/decide/paths"
 	"tealledge/internal/config"
 	"tealledge/internal/sexp"
 	"tealledge/policy"
 )
 
-// Entry is a listed server with its address.
+// Entry is a listed server with its addresses. Addr is the one that players are told: the first that can be reached
+// over the network.
 type Entry struct {
 	policy.Entry
-	Addr string
+	Addr  string
+	Paths []paths.Path
 }
 
+// addresses takes the addresses over; what is no address is an error, and none at all is none.
+func (e *Entry) addresses(list []string) error {
+	var errs []error
+	for _, a := range list {
+		p, err := paths.Parse(a)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if e.Addr == "" && p.Family != paths.Unix {
+			e.Addr = p.Addr
+		}
+		e.Paths = append(e.Paths, p)
+	}
+	if len(list) > addressesMost {
+		errs = append(errs, fmt.Errorf("%d addresses, %d at most", len(list), addressesMost))
+	}
+	return errors.Join(errs...)
+}
+
+// addressesMost bounds the addresses of a server.
+const addressesMost = 8
+
 // Answer is one answer of a source. Skipped names entries that could not be used.
 type Answer struct {
 	Index   uint64
@@ -166,16 +193,40 @@
 			a.Skipped = append(a.Skipped, fmt.Sprintf("%s: %v", s.Node.Node, err))
 			continue
 		}
-		host := s.Service.Address
-		if host == "" {
-			host = s.Node.Address
-		}
 		e.Health = health(s.Checks)
-		a.Entries = append(a.Entries, Entry{e, host + ":" + strconv.Itoa(s.Service.Port)})
+		out := Entry{Entry: e}
+		if err := out.addresses(consulAddresses(s)); err != nil {
+			a.Skipped = append(a.Skipped, fmt.Sprintf("%s: %v", s.Node.Node, err))
+			continue
+		}
+		a.Entries = append(a.Entries, out)
 	}
 	return a, nil
 }
 
+// consulAddresses gives a service's addresses: its own (else its node's), the tagged ones of other families, and a Unix
+// socket from the metadata. A port of 0 and no address are none.
+func consulAddresses(s *api.ServiceEntry) (list []string) {
+	add := func(host string, port int) {
+		if host != "" && port != 0 {
+			list = append(list, net.JoinHostPort(host, strconv.Itoa(port)))
+		}
+	}
+	host := s.Service.Address
+	if host == "" {
+		host = s.Node.Address
+	}
+	add(host, s.Service.Port)
+	for _, tag := range []string{"lan_ipv4", "lan_ipv6"} {
+		t := s.Service.TaggedAddresses[tag]
+		add(t.Address, t.Port)
+	}
+	if path := s.Service.Meta["unix"]; path != "" {
+		list = append(list, path)
+	}
+	return list
+}
+
 // health maps checks: maintenance, of node or service, is a drain; any other critical check counts as gone.
 func health(checks api.HealthChecks) policy.Health {
 	switch checks.AggregatedStatus() {
@@ -215,7 +266,7 @@
 }
 
 // fields of a server form, besides its id.
-var fields = []string{"address", "cell", "zone", "kind", "health", "size", "started"}
+var fields = []string{"cell", "zone", "kind", "health", "size", "started"}
 
 func parse(path, text string, names Names) ([]Entry, error) {
 	nodes, err := sexp.Read(path, text)
@@ -232,6 +283,12 @@
 		}
 		got := map[string]string{"server": n.List[1].Text}
 		known := map[string]func(*sexp.Node){}
+		var addrs []string
+		known["address"] = func(n *sexp.Node) {
+			for _, a := range n.Args() {
+				addrs = append(addrs, a.Text)
+			}
+		}
 		for _, k := range fields {
 			known[k] = func(n *sexp.Node) { got[k] = r.Text(n) }
 		}
@@ -248,7 +305,11 @@
 			r.Fail(n, "server %d stands twice", e.Server)
 		}
 		seen[e.Server], e.Health = true, h
-		out = append(out, Entry{e, got["address"]})
+		one := Entry{Entry: e}
+		if err := one.addresses(addrs); err != nil {
+			r.Fail(n, "server %s: %v", got["server"], err)
+		}
+		out = append(out, one)
 	}
 	return out, errors.Join(r.Errors()...)
 }
@@ -274,7 +335,11 @@
 	}
 	var b strings.Builder
 	for _, e := range list {
-		fmt.Fprintf(&b, "(server %d (address %q) (cell %d)", e.Server, e.Addr, e.Cell)
+		fmt.Fprintf(&b, "(server %d (address", e.Server)
+		for _, p := range e.Paths {
+			fmt.Fprintf(&b, " %q", p.Addr)
+		}
+		fmt.Fprintf(&b, ") (cell %d)", e.Cell)
 		if e.Zone < len(c.Names.Zones) {
 			fmt.Fprintf(&b, " (zone %q)", c.Names.Zones[e.Zone])
 		}
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/consul/api"
 
+	"tealledge/decide/paths"
 	"tealledge/policy"
 )
 
@@ -21,8 +23,9 @@
 	if err != nil || len(list) != 2 {
 		t.Fatal(list, err)
 	}
-	want := Entry{policy.Entry{Server: 7, Zone: 1, Kind: 1, Cell: 3, Health: policy.Draining, Size: 2.5, Started: 99}, "h:1"}
-	if list[0] != want || list[1].Size != 1 || list[1].Health != policy.Ready {
+	want := Entry{policy.Entry{Server: 7, Zone: 1, Kind: 1, Cell: 3, Health: policy.Draining, Size: 2.5, Started: 99}, "h:1",
+		[]paths.Path{{Addr: "h:1", Family: paths.IPv4}}}
+	if !reflect.DeepEqual(list[0], want) || list[1].Size != 1 || list[1].Health != policy.Ready {
 		t.Fatalf("%+v", list)
 	}
 	for in, want := range map[string]string{
@@ -32,7 +35,8 @@
 		`(server 1 (address "h:1") (zone "c"))`:                 "not among",
 		`(server 1 (address "h:1") (health well))`:              "none of ready",
 		`(server 1 (address "h:1") (started -4))`:               "no time",
-		`(host 1)`: "want (server",
+		`(server 1 (address "nowhere"))`:                        "no HOST:PORT",
+		`(host 1)`:                                              "want (server",
 	} {
 		if _, err := parse("f", in, names); err == nil || !strings.Contains(err.Error(), want) || !strings.HasPrefix(err.Error(), "f:1:") {
 			t.Errorf("%s: %v", in, err)
@@ -63,11 +67,12 @@
 	if list, err := c.Load(); list != nil || err != nil {
 		t.Fatal("a first start has no list and no error:", list, err)
 	}
-	want := []Entry{{policy.Entry{Server: 3, Cell: 2, Zone: 1, Kind: 1, Size: 1.25, Started: 5, Health: policy.Draining}, "h:3"}}
+	want := []Entry{{policy.Entry{Server: 3, Cell: 2, Zone: 1, Kind: 1, Size: 1.25, Started: 5, Health: policy.Draining}, "h:3",
+		[]paths.Path{{Addr: "/run/x", Family: paths.Unix}, {Addr: "h:3", Family: paths.IPv4}, {Addr: "[::1]:3", Family: paths.IPv6}}}}
 	if err := c.Save(want); err != nil {
 		t.Fatal(err)
 	}
-	if list, err := c.Load(); err != nil || len(list) != 1 || list[0] != want[0] {
+	if list, err := c.Load(); err != nil || !reflect.DeepEqual(list, want) {
 		t.Fatal(list, err)
 	}
 	whole, _ := os.ReadFile(c.path())
--- a/internal/standin/listsim/listsim.go
+++ b/internal/standin/listsim/listsim.go
@@ -25,6 +25,7 @@
 	Size    float64
 	Started time.Time // zero: long ago
 	Health  string    // ready, draining or removed
+	More    []string  // further addresses: [IPV6]:PORT, or a Unix socket's path
 }
 
 // List is the service.
@@ -226,6 +227,16 @@
 		"Address": host, "Datacenter": "dc1", "Meta": meta},
 		Service: map[string]any{"ID": fmt.Sprintf("%s-%d", name, s.ID), "Service": name, "Address": host, "Port": p, "Meta": map[string]string{}},
 		Checks:  []map[string]any{{"Node": fmt.Sprintf("media-%d", s.ID), "CheckID": "serfHealth", "Status": "passing"}}}
+	tagged := map[string]any{}
+	for _, a := range s.More {
+		if strings.HasPrefix(a, "/") {
+			e.Service["Meta"] = map[string]string{"unix": a}
+		} else if h, po, err := net.SplitHostPort(a); err == nil {
+			n, _ := strconv.Atoi(po)
+			tagged["lan_ipv6"] = map[string]any{"Address": h, "Port": n}
+		}
+	}
+	e.Service["TaggedAddresses"] = tagged
 	switch s.Health {
 	case "draining":
 		e.Checks = append(e.Checks, map[string]any{"CheckID": "_service_maintenance:" + name, "Status": "critical"})
--- a/internal/standin/mediasim/farm.go
+++ b/internal/standin/mediasim/farm.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	Keep        time.Duration // a stream whose connection is lost lives on so long
 	Holds       func(title string, cell int) bool
 	Seed        int64
+	Families    []string // more ways in besides IPv4: "ipv6", "unix" (in Dir)
+	Dir         string
 }
 
 // Farm is a set of servers and their racks.
@@ -62,6 +65,7 @@
 		s := &Server{farm: f, ID: uint32(i + 1), Cell: i % p.Cells, link: p.LinkKB * spread(), conns: map[*conn]struct{}{},
 			streams: map[string]*stream{}, share: 1, free: 1}
 		s.rack = s.Cell % p.Racks
+		s.extra = f.extra(i + 1)
 		if err := s.listen("127.0.0.1:0", false); err != nil {
 			f.Close()
 			return nil, err
@@ -73,6 +77,19 @@
 	return f, nil
 }
 
+// extra gives a server's further addresses.
+func (f *Farm) extra(id int) (list []*way) {
+	for _, family := range f.p.Families {
+		switch family {
+		case "ipv6":
+			list = append(list, &way{network: "tcp6", addr: "[::1]:0"})
+		case "unix":
+			list = append(list, &way{network: "unix", addr: filepath.Join(f.p.Dir, fmt.Sprintf("media-%d.sock", id))})
+		}
+	}
+	return list
+}
+
 // Servers gives the servers, in the order of ids.
 func (f *Farm) Servers() []*Server { return f.servers }
 
--- a/internal/standin/mediasim/serve.go
+++ b/internal/standin/mediasim/serve.go
@@ -18,6 +18,9 @@
 		if c.waitWhile(func(s *Server) bool { return s.stalled || s.silent }) {
 			continue
 		}
+		if c.mode == PathSilent || c.mode == PathStalls && j.m.Method != rtsp.Options {
+			continue
+		}
 		if j.m.Method == "" {
 			continue // an answer to a request of ours
 		}
@@ -151,6 +154,9 @@
 	s.next++
 	st := &stream{id: fmt.Sprintf("%d-%x-%d", s.ID, s.farm.rng.Uint32(), s.next), pipe: m.Get("Pipelined-Requests"),
 		key: key, rung: key.Rung, conn: c, origin: c}
+	if _, here := s.conns[c]; !here { // its connection ended while it was worked on
+		st.conn, st.lostAt = nil, now
+	}
 	c.pipes[st.pipe] = st
 	s.streams[st.id] = st
 	reply.Set("Session", fmt.Sprintf("%s;timeout=%d", st.id, max(int(p.Keep/time.Second), 1)))
--- a/internal/standin/mediasim/server.go
+++ b/internal/standin/mediasim/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 
 	// Guarded by the farm's mutex.
 	ln       net.Listener
+	extra    []*way
 	addr     string
 	up       bool
 	fallen   bool
@@ -44,6 +46,7 @@
 	garbage, half         float64
 	free                  float64 // part of the link that is left
 	running               sync.WaitGroup
+	mode                  string // of the IPv4 address
 }
 
 type stream struct {
@@ -70,6 +73,8 @@
 	told  time.Time
 	pipes map[string]*stream // by Pipelined-Requests id
 	gone  chan struct{}
+
+	network, mode string
 }
 
 type job struct {
@@ -160,9 +165,85 @@
 	s.farm.rec.Add(record.Event{Who: s.name(), What: record.Start, Server: s.ID, Cold: cold, Slots: s.farm.p.Slots})
 	s.running.Add(1)
 	go s.accept(ln)
+	for _, w := range s.extra {
+		if err := w.listen(); err != nil {
+			return fmt.Errorf("media stand-in %d: %w", s.ID, err)
+		}
+		s.running.Add(1)
+		go s.accept(w.ln)
+	}
 	return nil
 }
 
+// way is a further address of a server.
+type way struct {
+	network, addr string
+	ln            net.Listener
+	mode          string // "", or a bad behaviour: see Path
+}
+
+func (w *way) listen() (err error) {
+	if w.network == "unix" {
+		os.Remove(w.addr)
+	}
+	for range 50 {
+		if w.ln, err = net.Listen(w.network, w.addr); err == nil {
+			w.addr = w.ln.Addr().String()
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
+// Addrs gives all addresses of the server, IPv4 first.
+func (s *Server) Addrs() []string {
+	s.farm.mu.Lock()
+	defer s.farm.mu.Unlock()
+	list := []string{s.addr}
+	for _, w := range s.extra {
+		list = append(list, w.addr)
+	}
+	return list
+}
+
+// Ways in which an address may misbehave.
+const (
+	PathGood   = ""
+	PathSilent = "silent" // accepts, reads and never answers
+	PathResets = "resets" // accepts, then resets
+	PathStalls = "stalls" // answers OPTIONS, but no set-up
+)
+
+// Path has the address of a network (tcp, tcp6, unix) behave in a way, on new connections. Those that stand are reset.
+func (s *Server) Path(network, mode string) {
+	s.farm.mu.Lock()
+	defer s.farm.mu.Unlock()
+	if network == "tcp" {
+		s.mode = mode
+	}
+	for _, w := range s.extra {
+		if w.network == network {
+			w.mode = mode
+		}
+	}
+	for c := range s.conns {
+		if c.network == network && mode != PathGood {
+			c.nc.Close()
+		}
+	}
+}
+
+// way gives the network of a listener and how it behaves now.
+func (s *Server) way(ln net.Listener) (network, mode string) {
+	for _, w := range s.extra {
+		if w.ln == ln {
+			return w.network, w.mode
+		}
+	}
+	return "tcp", s.mode
+}
+
 func (s *Server) accept(ln net.Listener) {
 	defer s.running.Done()
 	for {
@@ -172,7 +253,11 @@
 		}
 		c := &conn{s: s, nc: nc, work: make(chan job, 4096), pipes: map[string]*stream{}, gone: make(chan struct{})}
 		s.farm.mu.Lock()
-		if !s.up || s.ln != ln {
+		c.network, c.mode = s.way(ln)
+		if !s.up || c.mode == PathResets {
+			if t, ok := nc.(*net.TCPConn); ok {
+				t.SetLinger(0)
+			}
 			s.farm.mu.Unlock()
 			nc.Close()
 			continue
@@ -198,6 +283,9 @@
 	}
 	s.up, s.fallen = false, s.fallen || fell
 	s.ln.Close()
+	for _, w := range s.extra {
+		w.ln.Close()
+	}
 	for c := range s.conns {
 		if t, ok := c.nc.(*net.TCPConn); ok {
 			t.SetLinger(0)
