--- a/cmd/tealledge/demo.go
+++ b/cmd/tealledge/demo.go
@@ -65,7 +65,14 @@
 	}
 	defer l.Close()
 	fmt.Printf("ready http://%s\n", l.Addr())
-	lines := bufio.NewScanner(os.Stdin)
+	go read(l, os.Stdin) // it may wait for lines for ever
+	<-ctx.Done()
+	return nil
+}
+
+// read lists the servers that are read, a (server ...) line each.
+func read(l *listsim.List, in io.Reader) {
+	lines := bufio.NewScanner(in)
 	for lines.Scan() {
 		var s listsim.Server
 		if _, err := fmt.Sscanf(lines.Text(), `(server %d (address %q) (cell %d)`, &s.ID, &s.Addr, &s.Cell); err != nil {
@@ -77,8 +84,6 @@
 		s.Zone, s.Kind, s.Size, s.Health = "centro", "std", 1, "ready"
 		l.Set(s)
 	}
-	<-ctx.Done()
-	return nil
 }
 
 type demoCmd struct {
