The second front: HLS manifests rewritten for each session, on the same core

Need: players that know nothing of the session API are to be placed, shaped and moved by the same rules.

Change: internal/manifest serves rewritten playlists over HTTP; the GET of a multivariant playlist is the request for a session and its status the one answer. Sessions that are moved or lost are placed anew at the next reload. The owner takes calls of any kind of player. Media stand-ins deliver playlists and segments.

Measured: tests on sockets, judged by the same auditor; every playlist read by a second library, no number goes back.

--- a/cmd/tealledge/main.go
+++ b/cmd/tealledge/main.go
@@ -84,6 +84,9 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
+	if s.HLS() != "" {
+		fmt.Printf("hls http://%s/hls/\n", s.HLS())
+	}
 	fmt.Printf("ready ws://%s/v1/sessions\n", s.Addr())
 	return s.Run(ctx)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -42,8 +43,11 @@
 	Queue, Message, OpenPerConnection, Connections, WriteBuffer         int
 	ResumeFor, HandshakeLine                                            time.Duration
 	Open, OpenPerTenant                                                 int
-	Handshakes                                                          int  // a second
-	NoGate                                                              bool // overload decisions off, to compare
+	Handshakes                                                          int    // a second
+	NoGate                                                              bool   // overload decisions off, to compare
+	HLSListen                                                           string // "": no HLS
+	HLSKeys                                                             []string
+	OriginWait, TokenFor                                                time.Duration
 }
 
 // Title is a title and where it lies: Copies cells in a row from Home.
@@ -65,7 +69,7 @@
 		Ping: 30 * time.Second, WriteWait: 2 * time.Second, KeepAlive: 15 * time.Second, Stall: 6 * time.Second,
 		ProbeWait: 250 * time.Millisecond, Queue: 8192, Message: 64 << 10, OpenPerConnection: 64,
 		Connections: 20_000, WriteBuffer: 256 << 10, ResumeFor: 5 * time.Second, HandshakeLine: 2 * time.Second, Open: 20_000,
-		OpenPerTenant: 10_000, Handshakes: 1000}
+		OriginWait: 600 * time.Millisecond, TokenFor: 6 * time.Hour, OpenPerTenant: 10_000, Handshakes: 1000}
 }
 
 // Load reads a file. The error joins all mistakes found, each with its place.
@@ -121,6 +125,24 @@
 				r.Fail(n, "list: one of (consul ADDRESS) and (file PATH) is needed")
 			}
 		},
+		"hls": func(n *sexp.Node) {
+			r.Fields(n, []string{"listen", "keys"}, map[string]func(*sexp.Node){
+				"listen":      func(n *sexp.Node) { f.HLSListen = r.Address(n) },
+				"origin-wait": func(n *sexp.Node) { f.OriginWait = r.Span(n, 10*time.Millisecond, 10*time.Second) },
+				"token-for":   func(n *sexp.Node) { f.TokenFor = r.Span(n, time.Second, 7*24*time.Hour) },
+				"keys": func(n *sexp.Node) { // the first signs, all check
+					for _, k := range n.Args() {
+						if b, err := hex.DecodeString(k.Text); err != nil || len(b) < 16 {
+							r.Fail(k, "keys: at least 32 hex digits each")
+						}
+						f.HLSKeys = append(f.HLSKeys, k.Text)
+					}
+					if len(n.Args()) == 0 {
+						r.Fail(n, "keys: at least one is needed")
+					}
+				},
+			})
+		},
 		"timing": func(n *sexp.Node) {
 			span := func(to *time.Duration, least, most time.Duration) func(*sexp.Node) {
 				return func(n *sexp.Node) { *to = r.Span(n, least, most) }
--- a/internal/hls/render.go
+++ b/internal/hls/render.go
@@ -188,3 +188,6 @@
 	}
 	return out
 }
+
+// Before notes that an earlier view of the same playlist may have told of so many discontinuities more.
+func (v *View) Before(n uint64) { v.gone += n }
--- a/internal/players/api.go
+++ b/internal/players/api.go
@@ -39,6 +39,7 @@
 	Rung    int     `json:"rung"`
 	Rate    float64 `json:"rate"`            // kB a second
 	Token   string  `json:"token,omitempty"` // for session.resume
+	HTTP    string  `json:"-"`               // HOST:PORT at which the server delivers segments
 }
 
 // NoData comes with the errors refused and failed.
--- a/internal/players/players.go
+++ b/internal/players/players.go
@@ -304,7 +304,7 @@
 // Call is a request that waits for its answer.
 type Call struct {
 	Conn   *Conn
-	Handle uint64 // the owner's
+	handle uint64 // the owner's
 	id     json.RawMessage
 	batch  *batch
 	slot   int
@@ -386,3 +386,15 @@
 	defer h.mu.Unlock()
 	return len(h.conns)
 }
+
+// Notify, Left, Held and Ref are what the owner needs of a call: see serve.Caller.
+func (c *Call) Notify(method string, params any) { c.Conn.Notify(method, params) }
+
+// Left tells whether the player's connection is gone.
+func (c *Call) Left() bool { return c.Conn.Left() }
+
+// Held gives the sessions that end with the connection.
+func (c *Call) Held() map[uint64]struct{} { return c.Conn.Sessions }
+
+// Ref gives the owner's handle.
+func (c *Call) Ref() *uint64 { return &c.handle }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -29,6 +29,7 @@
 	Teardown = "teardown" // a TEARDOWN arrived
 	End      = "end"      // a stream ended
 	ConnLost = "connlost" // a connection ended; what was pending on it is over
+	Segment  = "segment"  // a segment was asked for; Status 404: there is none
 	Share    = "share"    // the share of their rate that its streams get
 	// Of the list.
 	Told = "told" // a front was told of a server: Health, Started
--- /dev/null
+++ b/internal/serve/hls_test.go
@@ -0,0 +1,377 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/grafov/m3u8"
+
+	"tealledge/internal/record"
+	"tealledge/internal/seal"
+	"tealledge/internal/standin/mediasim"
+	"tealledge/internal/standin/playersim"
+)
+
+const hlsForm = `(hls (listen "127.0.0.1:0") (keys "` + hlsKey + `") (origin-wait 300ms))`
+
+// web is an HLS player.
+type web struct {
+	x      *site
+	viewer string
+	class  string
+	title  string
+	client *http.Client
+	last   map[string]uint64 // sequence last told, by address
+	disc   map[string]uint64
+	n      int
+}
+
+func (x *site) web(viewer, class, title string) *web {
+	tr := &http.Transport{}
+	x.t.Cleanup(tr.CloseIdleConnections)
+	return &web{x: x, viewer: viewer, class: class, title: title, client: &http.Client{Transport: tr}, last: map[string]uint64{}, disc: map[string]uint64{}}
+}
+
+func (p *web) get(path string) (int, string, http.Header) {
+	p.x.t.Helper()
+	if strings.HasPrefix(path, "/") {
+		path = "http://" + p.x.s.HLS() + path
+	}
+	resp, err := p.client.Get(path)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), resp.Header
+}
+
+// open asks for the title, as recorded for the auditor, and gives the variants' addresses.
+func (p *web) open() (code int, variants []string, h http.Header) {
+	p.x.t.Helper()
+	p.n++
+	call := fmt.Sprintf("hls-%p-%d", p, p.n)
+	hash := playersim.Hash(p.viewer)
+	p.x.rec.Add(record.Event{What: record.Ask, Front: "f", Call: call, Class: classes[p.class], Viewer: hash})
+	code, text, h := p.get("/hls/" + p.title + "/master.m3u8?" + url.Values{"class": {p.class}, "viewer": {p.viewer}}.Encode())
+	kind := map[int]string{200: "plays", 503: "refused", 502: "failed"}[code]
+	p.x.rec.Add(record.Event{What: record.Reply, Front: "f", Call: call, Class: classes[p.class], Text: kind, Session: strings.TrimPrefix(h.Get("X-Tealledge-Session"), "f-")})
+	if code != 200 {
+		return code, nil, h
+	}
+	list, kind2, err := m3u8.DecodeFrom(strings.NewReader(text), true)
+	if err != nil || kind2 != m3u8.MASTER {
+		p.x.t.Fatalf("%v\n%s", err, text)
+	}
+	for _, v := range list.(*m3u8.MasterPlaylist).Variants {
+		variants = append(variants, v.URI)
+	}
+	return code, variants, h
+}
+
+// reload reads a media playlist, checks it with another library and against what was told before, and gives the
+// segments' addresses.
+func (p *web) reload(variant string) (code int, segments []string) {
+	p.x.t.Helper()
+	code, text, _ := p.get(variant)
+	if code != 200 {
+		return code, nil
+	}
+	list, kind, err := m3u8.DecodeFrom(strings.NewReader(text), true)
+	if err != nil || kind != m3u8.MEDIA {
+		p.x.t.Fatalf("%v\n%s", err, text)
+	}
+	m := list.(*m3u8.MediaPlaylist)
+	if m.SeqNo < p.last[variant] || m.DiscontinuitySeq < p.disc[variant] {
+		p.x.t.Fatalf("went back: sequence %d after %d, discontinuity %d after %d", m.SeqNo, p.last[variant], m.DiscontinuitySeq, p.disc[variant])
+	}
+	p.last[variant], p.disc[variant] = m.SeqNo, m.DiscontinuitySeq
+	for _, s := range m.Segments[:m.Count()] {
+		segments = append(segments, s.URI)
+	}
+	return code, segments
+}
+
+// holder gives the server that streams for the viewer now.
+func (p *web) holder(segments []string) string {
+	u, err := url.Parse(segments[len(segments)-1])
+	if err != nil {
+		p.x.t.Fatal(err)
+	}
+	return u.Host
+}
+
+func TestAnHLSPlayerIsPlacedAndItsSegmentsExist(t *testing.T) {
+	x := newSite(t, hlsForm)
+	for _, title := range []string{"a", "live-a"} {
+		p := x.web("v-"+title, "floored", title)
+		code, variants, h := p.open()
+		if code != 200 || len(variants) == 0 || !strings.HasSuffix(variants[0], "/1.m3u8") || h.Get("X-Tealledge-Session") == "" {
+			t.Fatal(code, variants, h) // rung 0 lies under the class's floor
+		}
+		code, segments := p.reload(variants[len(variants)-1])
+		if code != 200 || len(segments) < 4 {
+			t.Fatal(code, segments)
+		}
+		for _, s := range segments {
+			if code, text, _ := p.get(s); code != 200 || text != "segment" {
+				t.Fatal(s, code, text)
+			}
+		}
+		if code, _, _ := p.get(strings.Split(segments[0], "?")[0]); code != 403 {
+			t.Error("a segment without a token:", code)
+		}
+	}
+	if n := x.farm.Streams(); n != 2 {
+		t.Error(n, "streams")
+	}
+	x.judge()
+}
+
+func TestRepeatedAndParallelGetsAreOneSession(t *testing.T) {
+	x := newSite(t, hlsForm)
+	var wg sync.WaitGroup
+	names := make(chan string, 20)
+	for range 20 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			p := x.web("same", "paid", "a")
+			code, _, h := p.get("/hls/a/master.m3u8?class=paid&viewer=same")
+			names <- fmt.Sprint(code, h.Get("X-Tealledge-Session"))
+		}()
+	}
+	wg.Wait()
+	close(names)
+	seen := map[string]bool{}
+	for n := range names {
+		seen[n] = true
+	}
+	if len(seen) != 1 || x.farm.Streams() != 1 {
+		t.Fatal(seen, x.farm.Streams(), "streams")
+	}
+	// Without a name two GETs are two viewers; with the cookie that the first got, one.
+	p, q := x.web("", "safe", "a"), x.web("", "safe", "a")
+	_, _, h := p.get("/hls/a/master.m3u8?class=safe")
+	q.get("/hls/a/master.m3u8?class=safe")
+	if n := x.farm.Streams(); n != 3 {
+		t.Fatal(n, "streams")
+	}
+	req, _ := http.NewRequest("GET", "http://"+x.s.HLS()+"/hls/a/master.m3u8?class=safe", nil)
+	req.Header.Set("Cookie", strings.Split(h.Get("Set-Cookie"), ";")[0])
+	resp, err := p.client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if n := x.farm.Streams(); n != 3 {
+		t.Error(n, "streams after a lost answer was asked for again")
+	}
+	x.judge()
+}
+
+func TestRefusedAndFailedHaveTheirStatus(t *testing.T) {
+	x := newSite(t, hlsForm)
+	x.web("w", "safe", "b").open()
+	x.farm.Server(1).Fault(func(f *mediasim.Faults) { f.Lose = 1 })
+	if code, _, _ := x.web("v1", "paid", "b").open(); code != 502 {
+		t.Error("a paid set-up that may have run:", code)
+	}
+	x.farm.Server(1).Fault(func(f *mediasim.Faults) { f.Lose = 0 })
+	x.farm.Server(1).Kill()
+	x.until("refused", func() bool {
+		code, _, h := x.web("v2", "safe", "b").open()
+		return code == 503 && h.Get("Retry-After") == "1"
+	})
+	for path, want := range map[string]int{"/hls/zzz/master.m3u8?class=safe": 404, "/hls/a/master.m3u8?class=x": 400, "/hls/a/master.m3u8?class=safe&top=99": 400,
+		"/hls/s/nonsense/0.m3u8": 403, "/other": 404, "/hls/a/b/c/d": 404} {
+		if code, _, _ := x.web("v", "safe", "a").get(path); code != want {
+			t.Errorf("%s: %d, want %d", path, code, want)
+		}
+	}
+	x.judge()
+}
+
+func TestTokensThatAreExpiredOrForged(t *testing.T) {
+	x := newSite(t, hlsForm)
+	p := x.web("v", "safe", "a")
+	now := time.Now().Unix()
+	c := seal.Claims{Session: 5, Viewer: 7, Title: "a", Top: 2, Issued: now - 100, Expires: now - 1}
+	if code, _ := p.reload("/hls/s/" + hlsKeys.Sign(c) + "/0.m3u8"); code != 410 {
+		t.Error("expired:", code)
+	}
+	other, _ := seal.NewKeys([]byte("another key of some length"))
+	c.Expires = now + 100
+	if code, _ := p.reload("/hls/s/" + other.Sign(c) + "/0.m3u8"); code != 403 {
+		t.Error("forged:", code)
+	}
+	c.Class = 1
+	if code, _ := p.reload("/hls/s/" + hlsKeys.Sign(c) + "/0.m3u8"); code != 410 {
+		t.Error("a paid session of elsewhere is not set up again:", code)
+	}
+	if x.farm.Streams() != 0 {
+		t.Error("something was set up")
+	}
+	c.Class = 0 // a safe one is placed, once, however many requests carry its token
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Add(1)
+		go func() { defer wg.Done(); x.web("v", "safe", "a").get("/hls/s/" + hlsKeys.Sign(c) + "/0.m3u8") }()
+	}
+	wg.Wait()
+	if n := x.farm.Streams(); n != 1 {
+		t.Error(n, "streams")
+	}
+	x.judge()
+}
+
+func TestTheServerDiesOrDrainsAndTheNextReloadGoesOn(t *testing.T) {
+	for _, how := range []string{"dies before the first media playlist", "dies in mid-stream", "drains"} {
+		t.Run(how, func(t *testing.T) {
+			x := newSite(t, hlsForm)
+			p := x.web("v", "safe", "live-a")
+			_, variants, _ := p.open()
+			variant := variants[0]
+			var at string
+			if how == "dies before the first media playlist" {
+				for _, m := range x.farm.Servers() {
+					if m.Streams() > 0 {
+						at = m.HTTPAddr()
+					}
+				}
+			} else {
+				_, segments := p.reload(variant)
+				at = p.holder(segments)
+			}
+			for _, m := range x.farm.Servers() {
+				if m.HTTPAddr() != at {
+					continue
+				}
+				if how == "drains" {
+					x.list.Set(listed(m, "draining"))
+					time.Sleep(300 * time.Millisecond)
+				}
+				m.Kill()
+			}
+			var segments []string
+			x.until("plays elsewhere", func() bool {
+				time.Sleep(100 * time.Millisecond)
+				code, list := p.reload(variant)
+				segments = list
+				return code == 200 && p.holder(list) != at
+			})
+			time.Sleep(1100 * time.Millisecond)
+			if _, segments = p.reload(variant); p.holder(segments) == at {
+				t.Error(segments)
+			}
+			if n := x.farm.Streams(); n != 1 {
+				t.Error(n, "streams")
+			}
+			x.judge()
+		})
+	}
+}
+
+func TestAFrontThatRestartedTakesItsPlayersTokensUp(t *testing.T) {
+	x := newSite(t, hlsForm)
+	p := x.web("v", "safe", "live-a")
+	_, variants, _ := p.open()
+	p.reload(variants[0])
+	x.end()
+	x.start(hlsForm)
+	x.until("goes on", func() bool { code, _ := p.reload(variants[0]); return code == 200 })
+	if n := x.farm.Streams(); n != 1 {
+		t.Error(n, "streams")
+	}
+	x.judge()
+}
+
+func TestPlayersThatStopAskingEndTheirSessions(t *testing.T) {
+	x := newSite(t, hlsForm)
+	steady, gone, left := x.web("steady", "safe", "live-a"), x.web("gone", "safe", "live-a"), x.web("left", "safe", "live-a")
+	_, v, _ := steady.open()
+	_, w, _ := gone.open()
+	gone.reload(w[0])
+	_, u, _ := left.open()
+	token := strings.Split(u[0], "/")[3]
+	req, _ := http.NewRequest("DELETE", "http://"+x.s.HLS()+"/hls/s/"+token, nil)
+	if resp, err := left.client.Do(req); err != nil || resp.StatusCode != 204 {
+		t.Fatal(err, resp)
+	} else {
+		resp.Body.Close()
+	}
+	x.until("closed at its word", func() bool { return x.farm.Streams() == 2 })
+	for range 16 {
+		time.Sleep(500 * time.Millisecond)
+		if code, _ := steady.reload(v[0]); code != 200 {
+			t.Fatal(code)
+		}
+	}
+	if n := x.farm.Streams(); n != 1 || x.s.hls.Sessions() != 1 {
+		t.Error(n, "streams,", x.s.hls.Sessions(), "sessions: only the steady one is there")
+	}
+	x.judge()
+}
+
+func TestAnOriginThatIsTruncatedOrStalls(t *testing.T) {
+	x := newSite(t, hlsForm)
+	p := x.web("v", "safe", "live-b")
+	_, variants, _ := p.open()
+	if code, _ := p.reload(variants[0]); code != 200 {
+		t.Fatal(code)
+	}
+	x.farm.Server(1).Fault(func(f *mediasim.Faults) { f.Half = 1 })
+	time.Sleep(700 * time.Millisecond)
+	if code, _ := p.reload(variants[0]); code != 200 { // truncated: the last good one is still usable
+		t.Error("a stale list is better than none:", code)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	if code, _ := p.reload(variants[0]); code != 503 { // too old by now
+		t.Error("a list older than two targets:", code)
+	}
+	x.farm.Server(1).Fault(func(f *mediasim.Faults) { f.Half = 0 })
+	x.until("goes on", func() bool { code, _ := p.reload(variants[0]); return code == 200 })
+	x.judge()
+}
+
+func TestFiveHundredHLSPlayers(t *testing.T) {
+	x := newSite(t, hlsForm)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	bad := make(chan string, 2000)
+	for i := range 500 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			p := x.web("v"+strconv.Itoa(i), "safe", []string{"live-a", "a"}[i%2])
+			time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+			began := time.Now()
+			code, variants, _ := p.open()
+			if took := time.Since(began); code != 200 || took > time.Second {
+				bad <- fmt.Sprint("open: ", code, " after ", took)
+				return
+			}
+			for ctx.Err() == nil {
+				if code, _, _ := p.get(variants[0]); code != 200 {
+					bad <- fmt.Sprint("reload: ", code)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		}()
+	}
+	wg.Wait()
+	close(bad)
+	for b := range bad {
+		t.Error(b)
+	}
+	x.judge()
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -21,6 +21,7 @@
 	"tealledge/internal/config"
 	"tealledge/internal/exchange"
 	"tealledge/internal/front"
+	"tealledge/internal/manifest"
 	"tealledge/internal/media"
 	"tealledge/internal/players"
 	"tealledge/internal/rtsp"
@@ -45,17 +46,18 @@
 	desk    *exchange.Desk
 	links   *media.Links
 	hub     *players.Hub
+	hls     *manifest.Hub // nil: not served
 	queue   *queue
 	view    members.View
 	index   indexBox
 	cache   serverlist.Cache
 	source  serverlist.Source
-	addrs   map[uint32]string
-	calls   map[uint64]*players.Call // by the handle given to the core
+	https   map[uint32]string // where servers deliver segments
+	calls   map[uint64]Caller // by the handle given to the core
 	handles uint64
-	byID    map[uint64]*players.Call // sessions that play or wait, by session id
-	later   []front.Event            // that arose while effects were carried out
-	doubt   bool                     // the last answer of the list was not believed; told once
+	byID    map[uint64]Caller // sessions that play or wait, by session id
+	later   []front.Event     // that arose while effects were carried out
+	doubt   bool              // the last answer of the list was not believed; told once
 
 	leaving  bool
 	closing  bool
@@ -84,8 +86,8 @@
 
 // New makes a front and listens; nothing is taken before Run.
 func New(cfg *config.Config, log zerolog.Logger) (*Server, error) {
-	s := &Server{cfg: cfg, log: log, start: time.Now(), addrs: map[uint32]string{}, calls: map[uint64]*players.Call{},
-		byID: map[uint64]*players.Call{}, queue: newQueue(cfg.Front.Queue), finished: make(chan struct{})}
+	s := &Server{cfg: cfg, log: log, start: time.Now(), https: map[uint32]string{}, calls: map[uint64]Caller{},
+		byID: map[uint64]Caller{}, queue: newQueue(cfg.Front.Queue), finished: make(chan struct{})}
 	seed := uint64(s.start.UnixNano())
 	s.gate = overload.New(weights(cfg))
 	var module front.Module = policy.New(cfg.Service, seed)
@@ -118,10 +120,21 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	var err error
-	s.hub, err = players.New(cfg, owner{s})
+	if s.hub, err = players.New(cfg, owner{s}); err != nil || cfg.Front.HLSListen == "" {
+		return s, err
+	}
+	s.hls, err = manifest.New(cfg, hlsOwner{s})
 	return s, err
 }
 
+// HLS is where HLS players connect, "" if they are not served.
+func (s *Server) HLS() string {
+	if s.hls == nil {
+		return ""
+	}
+	return s.hls.Addr().String()
+}
+
 // Addr is where players connect.
 func (s *Server) Addr() string { return s.hub.Addr().String() }
 
@@ -153,8 +166,11 @@
 		})
 	}()
 	go s.own()
-	served := make(chan error, 1)
+	served := make(chan error, 2)
 	go func() { served <- s.hub.Serve() }()
+	if s.hls != nil {
+		go func() { served <- s.hls.Serve() }()
+	}
 	select {
 	case <-ctx.Done():
 		err = nil
@@ -169,28 +185,46 @@
 	end, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	s.hub.Shutdown(end)
+	if s.hls != nil {
+		s.hls.Shutdown(end)
+	}
 	s.links.Close()
 	s.queue.close()
 	s.group.Wait()
 	return err
 }
 
+// Caller is a request that waits for its answer, and then the player that its session plays for.
+type Caller interface {
+	// Result and Fail answer; the first answer counts.
+	Result(v any) bool
+	Fail(code int, message string, data any) bool
+	Notify(method string, params any)
+	// Left tells whether the player is gone; Drop ends a call that nobody waits for.
+	Left() bool
+	Drop()
+	// Held and Ref are the owner's: the sessions that end with the player, and its handle.
+	Held() map[uint64]struct{}
+	Ref() *uint64
+}
+
 // ---- What the sockets bring ----
 
 type (
 	asked struct {
-		call *players.Call
+		call Caller
 		ask  front.Ask
 	}
 	closed struct {
-		call    *players.Call
+		call    Caller
 		session uint64
 	}
 	resumed struct {
-		call           *players.Call
+		call           Caller
 		session, token uint64
 	}
-	playerGone struct{ conn *players.Conn }
+	ended      struct{ session uint64 } // at the word of a player without a socket
+	playerGone struct{ held map[uint64]struct{} }
 	connected  struct{ server, conn uint64 }
 	dialFailed struct{ server, conn uint64 }
 	lost       struct{ server, conn, begun uint64 }
@@ -211,13 +245,21 @@
 
 func (o owner) Now() front.Time { return o.s.now() }
 
-func (o owner) Open(call *players.Call, ask front.Ask) {
-	if !o.s.queue.put(admit.Ask, asked{call, ask}) {
+func (o owner) Open(call *players.Call, ask front.Ask) { o.s.open(call, ask) }
+
+// open takes a request of any kind of player.
+func (s *Server) open(call Caller, ask front.Ask) {
+	if !s.queue.put(admit.Ask, asked{call, ask}) {
 		// The queue is full of work already taken: turned away before any work is spent, and never begun.
-		call.Fail(players.CodeRefused, "refused: busy", players.NoData{RetryAfterMs: o.s.comeBack() / policy.Millisecond})
+		busy(call, s.comeBack())
 	}
 }
 
+// busy turns a request away before anything of it was begun.
+func busy(call Caller, after front.Time) {
+	call.Fail(players.CodeRefused, "refused: busy", players.NoData{RetryAfterMs: after / policy.Millisecond})
+}
+
 func (o owner) Resume(call *players.Call, session, token uint64) {
 	o.s.queue.put(admit.News, resumed{call, session, token})
 }
@@ -279,7 +321,7 @@
 func (o owner) Close(call *players.Call, session uint64) {
 	o.s.queue.put(admit.News, closed{call, session})
 }
-func (o owner) Gone(conn *players.Conn) { o.s.queue.force(playerGone{conn}) }
+func (o owner) Gone(conn *players.Conn) { o.s.queue.force(playerGone{conn.Sessions}) }
 
 // sink is the links' view of the server.
 type sink struct{ s *Server }
@@ -377,7 +419,7 @@
 		s.calls[s.handles] = e.call
 		s.step(now, front.Resume{Session: e.session, Token: e.token, Player: s.handles})
 	case closed:
-		if _, mine := e.call.Conn.Sessions[e.session]; !mine {
+		if _, mine := e.call.Held()[e.session]; !mine {
 			e.call.Fail(players.CodeUnknownSession, "no such session here", nil)
 			return
 		}
@@ -385,12 +427,15 @@
 		s.forget(e.session)
 		e.call.Result(map[string]string{"status": "closed", "session": players.SessionName(s.cfg.Front.Name, e.session)})
 	case playerGone:
-		for id := range e.conn.Sessions {
+		for id := range e.held {
 			s.step(now, front.Detach{Session: id})
 			if !s.core.Holds(id) {
 				s.forget(id)
 			}
 		}
+	case ended:
+		s.step(now, front.Leave{Session: e.session})
+		s.forget(e.session)
 	case connected:
 		s.desk.Connected(now, uint32(e.server), e.conn)
 	case dialFailed:
@@ -413,24 +458,24 @@
 
 // take takes a request. Its session id is known once the core has taken it.
 func (s *Server) take(now front.Time, e asked) {
-	if e.call.Conn.Left() { // nobody is there to be answered, and nothing was begun
+	if e.call.Left() { // nobody is there to be answered, and nothing was begun
 		e.call.Drop()
 		return
 	}
 	if s.waited(now, &e.ask) {
-		e.call.Fail(players.CodeRefused, "refused: busy", players.NoData{RetryAfterMs: s.comeBack() / policy.Millisecond})
+		busy(e.call, s.comeBack())
 		return
 	}
 	s.handles++
-	e.ask.Player, e.ask.Draining, e.call.Handle = s.handles, s.leaving, s.handles
+	e.ask.Player, e.ask.Draining, *e.call.Ref() = s.handles, s.leaving, s.handles
 	s.calls[s.handles] = e.call
 	before := s.core.Stats().Taken
 	effects := s.core.Step(now, e.ask)
 	if s.core.Stats().Taken == before+1 {
 		id := s.core.LastID()
 		s.byID[id] = e.call
-		e.call.Conn.Sessions[id] = struct{}{}
-		if e.call.Conn.Left() { // it left just now: nobody would tell so any more
+		e.call.Held()[id] = struct{}{}
+		if e.call.Left() { // it left just now: nobody would tell so any more
 			s.settle(effects)
 			s.step(now, front.Leave{Session: id})
 			s.forget(id)
@@ -475,19 +520,18 @@
 	name := func(id uint64) string { return players.SessionName(s.cfg.Front.Name, id) }
 	switch e := effect.(type) {
 	case front.Plays:
-		addr := s.desk.Address(e.Server)
 		if call := s.answering(e.Player); call != nil {
-			call.Result(s.plays(name(e.Session), addr, e.Rung, e.Token))
+			call.Result(s.plays(name(e.Session), e.Server, e.Rung, e.Token))
 		}
 	case front.Resumed:
 		if call := s.answering(e.Player); call != nil {
 			if old := s.byID[e.Session]; old != nil {
-				delete(old.Conn.Sessions, e.Session)
+				delete(old.Held(), e.Session)
 			}
 			s.byID[e.Session] = call
-			call.Conn.Sessions[e.Session] = struct{}{}
-			call.Result(s.plays(name(e.Session), s.desk.Address(e.Server), e.Rung, 0))
-			if call.Conn.Left() {
+			call.Held()[e.Session] = struct{}{}
+			call.Result(s.plays(name(e.Session), e.Server, e.Rung, 0))
+			if call.Left() {
 				s.later = append(s.later, front.Detach{Session: e.Session})
 			}
 		}
@@ -509,16 +553,16 @@
 		s.forget(e.Session)
 	case front.RungTold:
 		if call := s.byID[e.Session]; call != nil {
-			call.Conn.Notify("session.rung", map[string]any{"session": name(e.Session), "rung": e.Rung, "rate": s.cfg.Service.RungKB[e.Rung]})
+			call.Notify("session.rung", map[string]any{"session": name(e.Session), "rung": e.Rung, "rate": s.cfg.Service.RungKB[e.Rung]})
 		}
 	case front.Moved:
 		if call := s.byID[e.Session]; call != nil {
-			call.Conn.Notify("session.moved", map[string]any{"session": name(e.Session), "token": strconv.FormatUint(e.Token, 16)})
+			call.Notify("session.moved", map[string]any{"session": name(e.Session), "token": strconv.FormatUint(e.Token, 16)})
 		}
 		s.forget(e.Session)
 	case front.Over:
 		if call := s.byID[e.Session]; call != nil {
-			call.Conn.Notify("session.ended", map[string]any{"session": name(e.Session), "reason": e.Why})
+			call.Notify("session.ended", map[string]any{"session": name(e.Session), "reason": e.Why})
 		}
 		s.forget(e.Session)
 	case front.Follow: // the follower asks all the time
@@ -531,15 +575,16 @@
 	}
 }
 
-func (s *Server) answering(handle uint64) *players.Call {
+func (s *Server) answering(handle uint64) Caller {
 	call := s.calls[handle]
 	delete(s.calls, handle)
 	return call
 }
 
-func (s *Server) plays(session, addr string, rung int, token uint64) players.PlaysResult {
+func (s *Server) plays(session string, server uint32, rung int, token uint64) players.PlaysResult {
+	addr := s.desk.Address(server)
 	r := players.PlaysResult{Status: "plays", Session: session, Server: addr, URI: "rtsp://" + addr + "/" + session, Rung: rung,
-		Rate: s.cfg.Service.RungKB[rung]}
+		Rate: s.cfg.Service.RungKB[rung], HTTP: s.https[server]}
 	if token != 0 {
 		r.Token = strconv.FormatUint(token, 16)
 	}
@@ -549,8 +594,8 @@
 func (s *Server) forget(id uint64) {
 	if call := s.byID[id]; call != nil {
 		call.Drop() // if its answer was never given: its player is gone
-		delete(s.calls, call.Handle)
-		delete(call.Conn.Sessions, id)
+		delete(s.calls, *call.Ref())
+		delete(call.Held(), id)
 		delete(s.byID, id)
 	}
 }
@@ -588,7 +633,8 @@
 	}
 	out := make([]serverlist.Entry, 0, len(list))
 	for _, e := range list {
-		out = append(out, serverlist.Entry{Entry: e, Addr: byID[e.Server].Addr, Paths: byID[e.Server].Paths})
+		out = append(out, serverlist.Entry{Entry: e, Addr: byID[e.Server].Addr, Paths: byID[e.Server].Paths,
+			HTTP: byID[e.Server].HTTP})
 	}
 	s.believe(policy.ListFull, out, now)
 	s.group.Add(1)
@@ -605,7 +651,9 @@
 	var servers []exchange.Server
 	var entries []policy.Entry
 	ready := 0
+	s.https = make(map[uint32]string, len(list))
 	for _, e := range list {
+		s.https[e.Server] = e.HTTP
 		servers = append(servers, exchange.Server{ID: e.Server, Addr: e.Addr, Paths: e.Paths, Started: e.Started})
 		entries = append(entries, e.Entry)
 		if e.Health == policy.Ready {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -19,11 +19,16 @@
 	"tealledge/internal/audit"
 	"tealledge/internal/config"
 	"tealledge/internal/record"
+	"tealledge/internal/seal"
 	"tealledge/internal/standin/listsim"
 	"tealledge/internal/standin/mediasim"
 	"tealledge/internal/standin/playersim"
 )
 
+const hlsKey = "000102030405060708090a0b0c0d0e0f"
+
+var hlsKeys, _ = seal.NewKeys([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15})
+
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m,
 		goleak.IgnoreAnyFunction("github.com/cloudwego/netpoll.(*defaultPoll).Wait"), // the library's pollers live on
@@ -45,7 +50,7 @@
   (reports link uplink) (reports-inline yes) (may-probe yes)
   (notes-late 200ms) (stall-cost 8) (change-cost 0.5)
   (max-attempts 4) (retry-after-most 1s) (connect-wait 250ms) (drain-grace 250ms) (price-move 0.01))
-(titles (title "a" (home 0) (copies 3)) (title "b" (home 0) (copies 1)))`
+(titles (title "a" (home 0) (copies 3)) (title "b" (home 0) (copies 1)) (title "live-a" (home 0) (copies 3)) (title "live-b" (home 0) (copies 1)))`
 
 // site is a front with its stand-ins, in one process.
 type site struct {
@@ -73,7 +78,7 @@
 	if x.farm, err = mediasim.New(mediasim.Params{Ladder: cfg.Service.RungKB, Slots: 2000, LinkKB: 1e6, UplinkKB: 3e6, Racks: 1, Cells: 3,
 		SetupTime: time.Millisecond, ReportEvery: 50 * time.Millisecond, NotesLate: 200 * time.Millisecond, Inline: true,
 		Keep: 400 * time.Millisecond, Seed: 1,
-		Families: families, Dir: x.dir}, 3, x.rec); err != nil {
+		Families: families, Dir: x.dir, HTTP: true, Keys: hlsKeys}, 3, x.rec); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(x.farm.Close)
@@ -89,7 +94,7 @@
 }
 
 func listed(m *mediasim.Server, health string) listsim.Server {
-	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: "z", Kind: "std", Size: 1, Started: m.Started(), Health: health, More: m.Addrs()[1:]}
+	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: "z", Kind: "std", Size: 1, Started: m.Started(), Health: health, More: m.Addrs()[1:], HTTP: m.HTTPAddr()}
 }
 
 func rules(cfg *config.Config) audit.Rules {
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -30,6 +30,7 @@
 	policy.Entry
 	Addr  string
 	Paths []paths.Path
+	HTTP  string // HOST:PORT at which it delivers HLS segments; "": it does not
 }
 
 // addresses takes the addresses over; what is no address is an error, and none at all is none.
@@ -194,7 +195,7 @@
 			continue
 		}
 		e.Health = health(s.Checks)
-		out := Entry{Entry: e}
+		out := Entry{Entry: e, HTTP: s.Service.Meta["http"]}
 		if err := out.addresses(consulAddresses(s)); err != nil {
 			a.Skipped = append(a.Skipped, fmt.Sprintf("%s: %v", s.Node.Node, err))
 			continue
@@ -266,7 +267,7 @@
 }
 
 // fields of a server form, besides its id.
-var fields = []string{"cell", "zone", "kind", "health", "size", "started"}
+var fields = []string{"http", "cell", "zone", "kind", "health", "size", "started"}
 
 func parse(path, text string, names Names) ([]Entry, error) {
 	nodes, err := sexp.Read(path, text)
@@ -305,7 +306,7 @@
 			r.Fail(n, "server %d stands twice", e.Server)
 		}
 		seen[e.Server], e.Health = true, h
-		one := Entry{Entry: e}
+		one := Entry{Entry: e, HTTP: got["http"]}
 		if err := one.addresses(addrs); err != nil {
 			r.Fail(n, "server %s: %v", got["server"], err)
 		}
@@ -346,6 +347,9 @@
 		if e.Kind < len(c.Names.Kinds) {
 			fmt.Fprintf(&b, " (kind %q)", c.Names.Kinds[e.Kind])
 		}
+		if e.HTTP != "" {
+			fmt.Fprintf(&b, " (http %q)", e.HTTP)
+		}
 		fmt.Fprintf(&b, " (health %s) (size %g) (started %d))\n", [...]string{"ready", "draining", "removed"}[e.Health], e.Size, e.Started)
 	}
 	text := b.String()
--- a/internal/standin/listsim/listsim.go
+++ b/internal/standin/listsim/listsim.go
@@ -25,6 +25,7 @@
 	Size    float64
 	Started time.Time // zero: long ago
 	Health  string    // ready, draining or removed
+	HTTP    string    // where it delivers HLS segments
 	More    []string  // further addresses: [IPV6]:PORT, or a Unix socket's path
 }
 
@@ -225,12 +226,13 @@
 		"kind": s.Kind, "size": strconv.FormatFloat(s.Size, 'g', -1, 64), "started": strconv.FormatInt(started(s), 10)}
 	e := entry{Node: map[string]any{"ID": fmt.Sprintf("00000000-0000-0000-0000-%012d", s.ID), "Node": fmt.Sprintf("media-%d", s.ID),
 		"Address": host, "Datacenter": "dc1", "Meta": meta},
-		Service: map[string]any{"ID": fmt.Sprintf("%s-%d", name, s.ID), "Service": name, "Address": host, "Port": p, "Meta": map[string]string{}},
+		Service: map[string]any{"ID": fmt.Sprintf("%s-%d", name, s.ID), "Service": name, "Address": host, "Port": p, "Meta": meta},
 		Checks:  []map[string]any{{"Node": fmt.Sprintf("media-%d", s.ID), "CheckID": "serfHealth", "Status": "passing"}}}
+	meta["http"] = s.HTTP
 	tagged := map[string]any{}
 	for _, a := range s.More {
 		if strings.HasPrefix(a, "/") {
-			e.Service["Meta"] = map[string]string{"unix": a}
+			meta["unix"] = a
 		} else if h, po, err := net.SplitHostPort(a); err == nil {
 			n, _ := strconv.Atoi(po)
 			tagged["lan_ipv6"] = map[string]any{"Address": h, "Port": n}
--- a/internal/standin/mediasim/farm.go
+++ b/internal/standin/mediasim/farm.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"tealledge/internal/record"
+	"tealledge/internal/seal"
 )
 
 // Params is what all servers of a farm have in common.
@@ -38,6 +39,8 @@
 	Seed        int64
 	Families    []string // more ways in besides IPv4: "ipv6", "unix" (in Dir)
 	Dir         string
+	HTTP        bool // servers deliver HLS playlists and segments too
+	Keys        *seal.Keys
 }
 
 // Farm is a set of servers and their racks.
@@ -66,6 +69,12 @@
 			streams: map[string]*stream{}, share: 1, free: 1}
 		s.rack = s.Cell % p.Racks
 		s.extra = f.extra(i + 1)
+		if p.HTTP {
+			if err := s.listenHTTP(); err != nil {
+				f.Close()
+				return nil, err
+			}
+		}
 		if err := s.listen("127.0.0.1:0", false); err != nil {
 			f.Close()
 			return nil, err
@@ -125,6 +134,9 @@
 	f.once.Do(func() { close(f.stop) })
 	for _, s := range f.servers {
 		s.end("farm closed", false)
+		if s.web != nil {
+			s.web.Close()
+		}
 	}
 	f.done.Wait()
 	for _, s := range f.servers {
@@ -205,3 +217,10 @@
 }
 
 func (s *Server) name() string { return fmt.Sprintf("media-%d", s.ID) }
+
+// Streams tells how many streams a server holds.
+func (s *Server) Streams() int {
+	s.farm.mu.Lock()
+	defer s.farm.mu.Unlock()
+	return len(s.streams)
+}
--- a/internal/standin/mediasim/server.go
+++ b/internal/standin/mediasim/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -24,6 +25,8 @@
 	// Guarded by the farm's mutex.
 	ln       net.Listener
 	extra    []*way
+	web      *http.Server
+	webAddr  string
 	addr     string
 	up       bool
 	fallen   bool
