--- a/cmd/tealledge/days.go
+++ b/cmd/tealledge/days.go
@@ -16,11 +16,12 @@
 var errRules = errors.New("a rule was broken")
 
 type dayCmd struct {
-	File     string `arg:"" optional:"" type:"existingfile" help:"Script of the day; the built-in bad day if left out."`
-	Record   string `help:"Keep settings, logs and records in this directory." type:"path"`
-	Baseline string `help:"A plain policy decides in the module's place: random or fewest." enum:",random,fewest" default:""`
-	Seed     int64  `help:"Another seed than the script's." default:"0"`
-	Times    int    `help:"Play the day so many times, each with the next seed; the first broken rule ends it." default:"1"`
+	File     string  `arg:"" optional:"" type:"existingfile" help:"Script of the day; the built-in bad day if left out."`
+	Record   string  `help:"Keep settings, logs and records in this directory." type:"path"`
+	Baseline string  `help:"A plain policy decides in the module's place: random or fewest." enum:",random,fewest" default:""`
+	HLS      float64 `help:"Share of the viewers that come by HLS." default:"-1"`
+	Seed     int64   `help:"Another seed than the script's." default:"0"`
+	Times    int     `help:"Play the day so many times, each with the next seed; the first broken rule ends it." default:"1"`
 }
 
 func (c *dayCmd) Run(ctx context.Context) error {
@@ -31,6 +32,9 @@
 	if err != nil {
 		return err
 	}
+	if c.HLS >= 0 {
+		s.HLS = c.HLS
+	}
 	if c.Seed != 0 {
 		s.Seed = c.Seed
 	}
--- a/cmd/tealledge/demo.go
+++ b/cmd/tealledge/demo.go
@@ -171,7 +171,7 @@
 	}
 	s.Fronts = 1
 	path := filepath.Join(dir, "settings.sexp")
-	if err := os.WriteFile(path, []byte(s.Settings("demo", c.Listen, at, filepath.Join(dir, "state"), 0, "")), 0o644); err != nil {
+	if err := os.WriteFile(path, []byte(s.Settings(day.Place{Name: "demo", Listen: c.Listen, HLS: "127.0.0.1:0", List: at, State: filepath.Join(dir, "state")}, "")), 0o644); err != nil {
 		return err
 	}
 	front, err := spawn("serve", "--pretty", "-c", path)
@@ -179,7 +179,7 @@
 		return err
 	}
 	defer front.end()
-	url, err := front.until("ready ", nil)
+	url, err := front.until("ready ", func(line string) { fmt.Println(line) })
 	if err != nil {
 		return err
 	}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -33,6 +33,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
+	if s.HLS() != "" {
+		fmt.Printf("hls http://%s/hls/\n", s.HLS())
+	}
 	fmt.Printf("ready ws://%s/v1/sessions\n", s.Addr())
 	if err := s.Run(ctx); err != nil {
 		os.Exit(1)
@@ -41,7 +44,7 @@
 
 // short is a day of a few seconds with a fault of each place: server, front, list, player.
 const short = `
-(day (seed 3) (length 5s) (fronts 2) (servers 8) (titles 12) (copies 4) (rate 14) (watch 500ms 1500ms) (bad 0.15)
+(day (seed 3) (length 5s) (fronts 2) (servers 8) (titles 12) (copies 4) (rate 14) (watch 500ms 1500ms) (bad 0.15) (hls 0.4)
   (media (slots 40) (link-kb 9000) (uplink-kb 40000) (setup 2ms) (keep 500ms))
   (at 500ms (hang (servers 1) (for 2s)))
   (at 800ms (lose (servers 1) (for 2s) (part 0.6)))
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -53,6 +53,7 @@
 	name   string
 	me     int
 	addr   string
+	hls    string
 	cmd    *exec.Cmd
 	exited chan struct{}
 	log    *os.File
@@ -101,7 +102,7 @@
 		Racks: set.Racks, Cells: set.Cells, SetupTime: s.SetupTime, ReportEvery: s.ReportEvery, NotesLate: second(set.SeeLate),
 		TellEvery: second(set.TellEvery), FullFrom: set.FullFrom, Inline: set.Inline, ColdSpan: second(set.ColdSpan), ColdFrom: set.ColdFrom,
 		FallTimes: set.ColdTimes, FallOver: second(set.FallSpan), Keep: s.Keep, Holds: s.holds, Seed: s.Seed,
-		Families: s.Families, Dir: w.o.Dir}, s.Servers, w.rec)
+		Families: s.Families, Dir: w.o.Dir, HTTP: s.HLS > 0}, s.Servers, w.rec)
 	if err != nil {
 		return err
 	}
@@ -110,6 +111,9 @@
 	}
 	for i := range s.Fronts {
 		p := &process{w: w, name: fmt.Sprintf("front-%d", i), me: i, addr: "127.0.0.1:0"}
+		if s.HLS > 0 {
+			p.hls = "127.0.0.1:0"
+		}
 		w.fronts = append(w.fronts, p)
 		if err := p.start(); err != nil {
 			return err
@@ -141,6 +145,14 @@
 	return p.name, p.addr
 }
 
+// FrontHLS gives a front's name and the address of its manifests.
+func (w *world) FrontHLS(n int) (name, addr string) {
+	p := w.fronts[n%len(w.fronts)]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return p.name, p.hls
+}
+
 // Pid gives a front's process.
 func (w *world) Pid(n int) int { return w.fronts[n].cmd.Process.Pid }
 
@@ -188,6 +200,10 @@
 		watching.Add(1)
 		go func() {
 			defer watching.Done()
+			if a.hls {
+				w.crowd.WatchHLS(viewers, w.viewer(a), w.FrontHLS)
+				return
+			}
 			w.crowd.Watch(viewers, w.viewer(a))
 		}()
 	}
@@ -238,12 +254,13 @@
 	if len(w.s.Service.Zones) > 0 {
 		zone = w.s.Service.Zones[0]
 	}
-	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: zone, Kind: kind, Size: 1, Started: m.Started(), Health: health, More: m.Addrs()[1:]}
+	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: zone, Kind: kind, Size: 1, Started: m.Started(), Health: health, More: m.Addrs()[1:],
+		HTTP: m.HTTPAddr()}
 }
 
 func (w *world) viewer(a arrival) playersim.Viewer {
 	class := w.s.Service.Service.Classes[a.class]
-	v := playersim.Viewer{Name: fmt.Sprintf("viewer-%d", a.n), Title: titleName(a.title), Class: w.s.Service.Classes[a.class], ClassN: a.class,
+	v := playersim.Viewer{Name: fmt.Sprintf("viewer-%d", a.n), Title: w.s.titleName(a.title), Class: w.s.Service.Classes[a.class], ClassN: a.class,
 		Top: a.top, Length: a.watch, Worth: class.Worth}
 	if len(w.s.Service.Tenants) > 0 {
 		v.Tenant = w.s.Service.Tenants[0]
@@ -264,7 +281,7 @@
 		return err
 	}
 	path := filepath.Join(dir, "settings.sexp")
-	text := p.w.s.Settings(p.name, p.addr, p.w.list.Addr(), filepath.Join(dir, "state"), p.me, p.w.o.Baseline)
+	text := p.w.s.Settings(Place{p.name, p.addr, p.hls, p.w.list.Addr(), filepath.Join(dir, "state"), p.me}, p.w.o.Baseline)
 	if p.w.o.Limits != "" {
 		text = strings.Replace(text, "(front ", "(front "+p.w.o.Limits+" ", 1)
 	}
@@ -292,6 +309,12 @@
 	go func() {
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
+			if addr, ok := strings.CutPrefix(lines.Text(), "hls http://"); ok {
+				addr, _, _ = strings.Cut(addr, "/")
+				p.w.mu.Lock()
+				p.hls = addr
+				p.w.mu.Unlock()
+			}
 			if addr, ok := strings.CutPrefix(lines.Text(), "ready ws://"); ok {
 				addr, _, _ = strings.Cut(addr, "/")
 				ready <- addr
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -11,6 +11,7 @@
 	"os"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"tealledge/internal/config"
@@ -34,6 +35,7 @@
 	Shortest        time.Duration
 	Longest         time.Duration
 	Bad             float64
+	HLS             float64 // share of the viewers that come by HLS
 	Mix             []float64
 	Slots           float64
 	LinkKB          float64
@@ -99,7 +101,7 @@
 // TitleNames gives the titles that the day knows.
 func (s *Script) TitleNames() (list []string) {
 	for i := range s.Titles {
-		list = append(list, titleName(i))
+		list = append(list, s.titleName(i))
 	}
 	return list
 }
@@ -140,7 +142,7 @@
 		return nil, errors.Join(errs...)
 	}
 	// The service is read as a front would read it, so that its mistakes are told now.
-	s.Service, err = config.Parse(path+" (service)", s.Settings("front-0", "127.0.0.1:0", "127.0.0.1:1", "", 0, ""))
+	s.Service, err = config.Parse(path+" (service)", s.Settings(Place{Name: "front-0", Listen: "127.0.0.1:0", List: "127.0.0.1:1"}, ""))
 	if err != nil {
 		return nil, err
 	}
@@ -183,6 +185,7 @@
 		"rate":    num(&s.Rate, 0.1, 1000),
 		"swing":   num(&s.Swing, 0, 1),
 		"bad":     num(&s.Bad, 0, 1),
+		"hls":     num(&s.HLS, 0, 1),
 		"watch": func(n *sexp.Node) {
 			if len(n.List) != 3 {
 				r.Fail(n, "want (watch SHORTEST LONGEST)")
@@ -269,23 +272,41 @@
 	return out + ")"
 }
 
+// Place is where one front is and what it talks to.
+type Place struct {
+	Name, Listen, HLS, List, State string
+	Me                             int
+}
+
+// hlsKey signs the addresses of a day's HLS players, in hex: it protects nothing but the stand-ins.
+const hlsKey = "00112233445566778899aabbccddeeff"
+
 // Settings gives the settings file of one front.
-func (s *Script) Settings(name, listen, list, state string, me int, baseline string) string {
-	out := fmt.Sprintf("(front (name %q) (listen %q) (fleet %d) (me %d) (list (consul %q) (service \"media\"))", name, listen, s.Fronts, me, list)
-	if state != "" {
-		out += fmt.Sprintf(" (state %q)", state)
+func (s *Script) Settings(p Place, baseline string) string {
+	out := fmt.Sprintf("(front (name %q) (listen %q) (fleet %d) (me %d) (list (consul %q) (service \"media\"))", p.Name, p.Listen, s.Fronts, p.Me, p.List)
+	if p.State != "" {
+		out += fmt.Sprintf(" (state %q)", p.State)
+	}
+	if p.HLS != "" {
+		out += fmt.Sprintf(" (hls (listen %q) (keys %q))", p.HLS, hlsKey)
 	}
 	if baseline != "" {
 		out += fmt.Sprintf(" (baseline %s)", baseline)
 	}
 	out += ")\n" + s.ServiceText + "\n(titles"
 	for i := range s.Titles {
-		out += fmt.Sprintf(" (title %q (home %d) (copies %d))", titleName(i), s.home(i), s.Copies)
+		out += fmt.Sprintf(" (title %q (home %d) (copies %d))", s.titleName(i), s.home(i), s.Copies)
 	}
 	return out + ")\n"
 }
 
-func titleName(i int) string { return fmt.Sprintf("guide-%d", i) }
+// titleName names a title; on days with HLS every other one is live.
+func (s *Script) titleName(i int) string {
+	if s.HLS > 0 && i%2 == 1 {
+		return fmt.Sprintf("live-guide-%d", i)
+	}
+	return fmt.Sprintf("guide-%d", i)
+}
 
 // home spreads titles over the cells.
 func (s *Script) home(title int) int { return (title * 5) % max(s.Servers, 1) }
@@ -293,7 +314,7 @@
 // holds tells whether a cell holds a title.
 func (s *Script) holds(title string, cell int) bool {
 	var n int
-	if _, err := fmt.Sscanf(title, "guide-%d", &n); err != nil || n >= s.Titles {
+	if _, err := fmt.Sscanf(strings.TrimPrefix(title, "live-"), "guide-%d", &n); err != nil || n >= s.Titles {
 		return false
 	}
 	cells := s.Service.Service.Cells
@@ -307,6 +328,7 @@
 	class int
 	top   int
 	watch time.Duration
+	hls   bool
 	bad   float64 // drawn; under Script.Bad it misbehaves
 	n     int
 }
@@ -334,6 +356,7 @@
 			return list
 		}
 		a := arrival{at: time.Duration(at * float64(time.Second)), title: int(zipf.Uint64()), n: n, bad: rng.Float64()}
+		a.hls = s.HLS > 0 && float64(n*7919%1000)/1000 < s.HLS
 		if rng.Float64() < hot {
 			a.title = s.Titles / 2
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1210,3 +1210,41 @@
 		}
 	}
 }
+
+// The sums of rungs that a server keeps are those of its sessions, whatever became of them.
+func TestKeptSumsOfRungsAreThoseOfTheSessions(t *testing.T) {
+	w := newWorld(t, settings())
+	check := func() {
+		for _, v := range w.f.fleet.order {
+			sum := 0
+			for _, s := range v.held {
+				sum += s.rung
+			}
+			if sum != v.rungs {
+				t.Fatalf("server %d keeps %d, its sessions have %d", v.Server, v.rungs, sum)
+			}
+		}
+	}
+	for id := uint64(1); id < 120; id++ {
+		for _, s := range of[Send](w.do(Request{w.ask(id, int(id%2))})) {
+			switch id % 5 {
+			case 0:
+				w.do(Outcome{ID: id, Server: s.Server, Status: ResetConn})
+			case 1:
+				w.do(Playing{ID: id, Server: s.Server})
+				w.do(Note{ID: id, Server: s.Server, Kind: NoteRung, Value: 1})
+			case 2:
+				w.do(Playing{ID: id, Server: s.Server})
+				w.do(Note{ID: id, Server: s.Server, Kind: NoteShare, Value: 0.6})
+			case 3:
+				w.do(Playing{ID: id, Server: s.Server})
+				w.do(Outcome{ID: id, Server: s.Server, Status: OK, Final: true})
+			default:
+				w.do(Gone{id})
+			}
+			check()
+		}
+		w.run(50 * Millisecond)
+		check()
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -93,6 +93,7 @@
 	link   meter
 	rack   *rack
 	held   []*session // set up or playing here, oldest first
+	rungs  int        // sum of their rungs
 
 	bad tally // refusals, failures and missing parts of rates
 
@@ -233,6 +234,7 @@
 // occupy books a session's rate where it is, times sign.
 func (f *Front) occupy(s *session, sign float64) {
 	kb := sign * f.kb(s, s.rung)
+	s.at.rungs += int(sign) * s.rung
 	s.at.link.add(f.now, kb, keepChanges)
 	s.at.rack.add(f.now, kb, keepChanges)
 }
@@ -463,10 +465,8 @@
 // meanRung gives the mean rung of this front's sessions in a rack.
 func (f *Front) meanRung(k *rack) float64 {
 	n, sum := 0, 0
-	for _, v := range k.parts {
-		for _, s := range v.held {
-			n, sum = n+1, sum+s.rung
-		}
+	for _, v := range k.parts { // sums are kept: one of thousands of sessions is placed by a look at a few servers
+		n, sum = n+len(v.held), sum+v.rungs
 	}
 	return float64(sum) / float64(max(n, 1))
 }
