--- a/decide/life/life.go
+++ b/decide/life/life.go
@@ -30,7 +30,8 @@
 	Ended  bool // ENDLIST: it is never reloaded
 }
 
-// Ends tells when a session ends if nothing more is heard of its player. opened is when its request was answered,
+// Ends tells when a session ends if nothing more is heard of its player. Until then it keeps its seat and its place,
+// also while it is unsure whether its player is there: two sessions must not share a seat. opened is when its request was answered,
 // heard when it asked for a playlist last (0: not yet).
 func Ends(opened, heard Time, l List) Time {
 	switch {
@@ -42,17 +43,16 @@
 	return heard + max(missed*l.Target+slack, liveLeast)
 }
 
-// Unsure tells whether a session's player has missed a reload and may be gone. It keeps its seat and its place until
-// it ends: giving the seat to another while the stream may play would be two sessions on one seat.
-func Unsure(now, heard Time, l List) bool {
-	return heard > 0 && !l.Ended && now > heard+l.Target+l.Target/2
-}
-
 // TooFast tells whether a reload comes so soon after the last one that the same text does: nothing new can be there.
 func TooFast(now, heard Time, l List) bool {
 	return heard > 0 && !l.Ended && now-heard < max(Time(tooFast*float64(l.Target)), noReload)
 }
 
+// Turned decides whether a player that reloads too fast is told to wait: a few in a row are a player that seeks or has
+// opened two variants, many are a broken one, which would cost as much as dozens of others. It loses nothing by it: its
+// session is kept alive all the same.
+func Turned(fastInARow int) bool { return fastInARow > fastMost }
+
 // Fresh tells whether a shared playlist may be told without asking its origin again; a finished one always may.
 func Fresh(age Time, l List) bool { return l.Ended || age < l.Target/2 }
 
@@ -65,7 +65,3 @@
 // same session, whether its answer was lost or it opened the title twice. Without a name or a cookie a lost answer
 // can't be told from a second viewer, and is taken for one: two viewers must not share a seat.
 func Claim(cookie, named bool) bool { return cookie || named }
-
-// Repeated tells whether a repeated request is for a lost answer: nothing was asked for since. It is answered alike
-// and counts as the first.
-func Repeated(now, opened, heard Time) bool { return heard == 0 && now-opened < retrySame }
--- a/decide/life/life_test.go
+++ b/decide/life/life_test.go
@@ -38,9 +38,6 @@
 				t.Errorf("target %d s: ended after a gap of %d s", target/s, gap/s)
 			}
 		}
-		if Unsure(at+target, at, l) || !Unsure(at+2*target, at, l) {
-			t.Errorf("target %d s: unsure", target/s)
-		}
 	}
 }
 
@@ -49,6 +46,9 @@
 	if !TooFast(at+s, at, live) || TooFast(at+2*s, at, live) || TooFast(at, 0, live) || TooFast(at+s/10, at, done) {
 		t.Error("pacing")
 	}
+	if Turned(20) || !Turned(21) {
+		t.Error("turned away")
+	}
 	if !Fresh(s, live) || Fresh(3*s, live) || !Fresh(1000*s, done) {
 		t.Error("fresh")
 	}
@@ -61,7 +61,4 @@
 	if Claim(false, false) || !Claim(true, false) || !Claim(false, true) {
 		t.Error("claim")
 	}
-	if !Repeated(at+s, at, 0) || Repeated(at+s, at, at) || Repeated(at+11*s, at, 0) {
-		t.Error("repeated")
-	}
 }
--- a/internal/manifest/hub.go
+++ b/internal/manifest/hub.go
@@ -424,6 +424,17 @@
 		return
 	}
 	s.mu.Lock()
+	if now := h.owner.Now(); life.TooFast(now, s.heard, s.list) {
+		if s.fast++; life.Turned(s.fast) {
+			s.heard = now
+			s.mu.Unlock()
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "reloads come too fast", http.StatusTooManyRequests)
+			return
+		}
+	} else {
+		s.fast = 0
+	}
 	floor := h.cfg.Service.Classes[s.claims.Class].Floor
 	effective := max(min(rung, s.rung), floor)
 	server, title := s.http, s.claims.Title
--- a/internal/manifest/session.go
+++ b/internal/manifest/session.go
@@ -32,6 +32,7 @@
 	opened front.Time
 	heard  front.Time
 	list   life.List
+	fast   int     // reloads in a row that came too fast
 	views  []*view // by rung asked for
 	gone   uint64  // discontinuities that an earlier front may have told of
 }
--- a/internal/serve/hls_test.go
+++ b/internal/serve/hls_test.go
@@ -321,6 +321,25 @@
 	x.judge()
 }
 
+func TestAPlayerThatReloadsTooFastIsToldToWaitAndKeepsItsSession(t *testing.T) {
+	x := newSite(t, hlsForm)
+	p := x.web("v", "safe", "live-a")
+	_, variants, _ := p.open()
+	codes := map[int]int{}
+	for range 60 {
+		code, _, _ := p.get(variants[0])
+		codes[code]++
+	}
+	if codes[200] < 20 || codes[429] < 30 {
+		t.Error(codes)
+	}
+	time.Sleep(1100 * time.Millisecond)
+	if code, _ := p.reload(variants[0]); code != 200 || x.farm.Streams() != 1 {
+		t.Error(code, x.farm.Streams())
+	}
+	x.judge()
+}
+
 func TestAnOriginThatIsTruncatedOrStalls(t *testing.T) {
 	x := newSite(t, hlsForm)
 	p := x.web("v", "safe", "live-b")
