--- a/decide/life/life.go
+++ b/decide/life/life.go
@@ -17,9 +17,9 @@
 	firstWait = 8 * policy.Second        // from the answer to the first media playlist
 	idleAfter = 20 * policy.Second       // after the last second of a finished list could have been played
 	longest   = 6 * 3600 * policy.Second // no list, however long, holds a session beyond this without a word
-	tooFast   = 0.3                      // of the target: faster reloads are given the same text
+	tooFast   = 0.3                      // of the target: no player has a reason to reload faster
+	fastMost  = 20                       // so many too fast in a row are turned away
 	staleLive = 2.0                      // targets that a live list may be old when its origin is late
-	retrySame = 10 * policy.Second       // a repeated request within this, before anything was played, is a lost answer
 	noReload  = 500 * policy.Millisecond
 )
 
