--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -58,10 +58,12 @@
 	RuleTerms   = "5 floors and seats kept"
 	RuleBudget  = "6 further attempts within budget"
 	RuleOrphans = "7 no stream left over"
+	RuleList    = "8 manifests true, never backwards"
 )
 
-// RuleNames gives all rules. The seventh follows from the first two: a stream that nobody watches.
-var RuleNames = []string{RuleAnswer, RuleOnce, RuleDrain, RuleCold, RuleTerms, RuleBudget, RuleOrphans}
+// RuleNames gives all rules. The seventh follows from the first two: a stream that nobody watches. The eighth is what
+// the HLS front adds: its playlists name only segments that exist, at servers that hold the viewer's session.
+var RuleNames = []string{RuleAnswer, RuleOnce, RuleDrain, RuleCold, RuleTerms, RuleBudget, RuleOrphans, RuleList}
 
 // Violation is a broken rule and the message that broke it.
 type Violation struct {
@@ -172,6 +174,7 @@
 	j.terms()
 	j.budget()
 	j.orphans()
+	j.manifests()
 	slices.SortStableFunc(j.report.Violations, func(a, b Violation) int { return int(min(max(a.Event.T-b.Event.T, -1), 1)) })
 	j.worth()
 	j.troubles()
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -238,3 +238,61 @@
 		}
 	}
 }
+
+// told is how long a segment may still be fetched from a server after the viewer's stream there ended: the player was
+// told of it while the server held the session, and plays it from its buffer's end.
+const told = int64(12 * time.Second)
+
+// manifests is the eighth rule: every playlist that a player read is one, its sequence and discontinuity sequence never
+// go back, its segments exist, and they lie at a server that plays the viewer's session or did just before.
+func (j *judge) manifests() {
+	type span struct{ from, to int64 }
+	type holder struct {
+		server uint32
+		viewer string
+		title  string
+	}
+	held := map[holder][]*span{}
+	running := map[string]*span{}
+	last := map[string]record.Event{}
+	for _, e := range j.events {
+		h := holder{e.Server, e.Viewer, e.Title}
+		switch e.What {
+		case record.Play:
+			s := &span{e.T, 1 << 62}
+			held[h] = append(held[h], s)
+			running[e.Key()] = s
+		case record.End:
+			if s := running[e.Key()]; s != nil {
+				s.to = e.T
+			}
+		}
+	}
+	for _, e := range j.events {
+		switch e.What {
+		case record.Manifest:
+			j.report.Checked[RuleList]++
+			was, seen := last[e.Call]
+			switch {
+			case e.Text != "":
+				j.broken(RuleList, e, "a playlist that is none: %s", e.Text)
+				continue
+			case seen && (e.Value < was.Value || e.Length < was.Length):
+				j.broken(RuleList, e, "a playlist went back: sequence %.0f after %.0f, discontinuity %.0f after %.0f", e.Value, was.Value, e.Length, was.Length)
+			}
+			last[e.Call] = e
+		case record.Segment:
+			j.report.Checked[RuleList]++
+			if e.Status == 404 {
+				j.broken(RuleList, e, "a segment that does not exist: %s of %s", e.Text, e.Title)
+			}
+			ok := false
+			for _, s := range held[holder{e.Server, e.Viewer, e.Title}] {
+				ok = ok || e.T >= s.from-int64(j.rules.Skew) && e.T <= s.to+told
+			}
+			if !ok {
+				j.broken(RuleList, e, "a segment at server %d, which does not hold the viewer's session", e.Server)
+			}
+		}
+	}
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"math/rand"
@@ -16,6 +17,7 @@
 
 	"tealledge/internal/audit"
 	"tealledge/internal/record"
+	"tealledge/internal/seal"
 	"tealledge/internal/standin/listsim"
 	"tealledge/internal/standin/mediasim"
 	"tealledge/internal/standin/playersim"
@@ -98,11 +100,19 @@
 	if w.list, err = listsim.New("127.0.0.1:0", w.rec); err != nil {
 		return err
 	}
+	key, err := hex.DecodeString(hlsKey)
+	if err != nil {
+		return err
+	}
+	keys, err := seal.NewKeys(key)
+	if err != nil {
+		return err
+	}
 	w.farm, err = mediasim.New(mediasim.Params{Ladder: set.RungKB, Slots: s.Slots, LinkKB: s.LinkKB, UplinkKB: s.UplinkKB, Uneven: s.Uneven,
 		Racks: set.Racks, Cells: set.Cells, SetupTime: s.SetupTime, ReportEvery: s.ReportEvery, NotesLate: second(set.SeeLate),
 		TellEvery: second(set.TellEvery), FullFrom: set.FullFrom, Inline: set.Inline, ColdSpan: second(set.ColdSpan), ColdFrom: set.ColdFrom,
 		FallTimes: set.ColdTimes, FallOver: second(set.FallSpan), Keep: s.Keep, Holds: s.holds, Seed: s.Seed,
-		Families: s.Families, Dir: w.o.Dir, HTTP: s.HLS > 0}, s.Servers, w.rec)
+		Families: s.Families, Dir: w.o.Dir, HTTP: s.HLS > 0, Keys: keys}, s.Servers, w.rec)
 	if err != nil {
 		return err
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -34,11 +34,12 @@
 	// Of the list.
 	Told = "told" // a front was told of a server: Health, Started
 	// Of a player.
-	Want   = "want"   // a viewer comes for the first time; Worth, Length
-	Ask    = "ask"    // a request was written; Call names it
-	Reply  = "reply"  // an answer was read: Text is plays, refused, failed or error
-	Left   = "left"   // the player closed the connection or took the request back
-	Broken = "broken" // the connection was lost
+	Want     = "want"     // a viewer comes for the first time; Worth, Length
+	Ask      = "ask"      // a request was written; Call names it
+	Reply    = "reply"    // an answer was read: Text is plays, refused, failed or error
+	Manifest = "manifest" // a media playlist was read: Call names its address, Value its sequence, Length its discontinuity sequence; Text: why it is none
+	Left     = "left"     // the player closed the connection or took the request back
+	Broken   = "broken"   // the connection was lost
 	// Of the day.
 	Rules    = "rules"    // the settings that the rules go by, in Text as JSON
 	FrontUp  = "frontup"  // a front's process was started
--- a/internal/standin/playersim/hls.go
+++ b/internal/standin/playersim/hls.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"tealledge/internal/hls"
 	"tealledge/internal/record"
 )
 
@@ -144,6 +145,7 @@
 			return false
 		default:
 			misses = 0
+			p.told(variant, text)
 			p.segment(ctx, text)
 		}
 		if wait(ctx, min(time.Second, time.Until(p.end)+time.Millisecond)) != nil {
@@ -162,6 +164,17 @@
 	return true
 }
 
+// told writes down what a playlist says.
+func (p *hlsPlayer) told(variant, text string) {
+	e := record.Event{Who: "player", What: record.Manifest, Viewer: Hash(p.v.Name), Call: variant, Title: p.v.Title, Class: p.v.ClassN}
+	if m, err := hls.ParseMedia(text); err != nil {
+		e.Text = err.Error()
+	} else {
+		e.Value, e.Length = float64(m.Sequence), float64(m.Discontinuity)
+	}
+	p.c.Rec.Add(e)
+}
+
 // segment fetches the newest segment of a list.
 func (p *hlsPlayer) segment(ctx context.Context, text string) {
 	last := ""
