--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -396,3 +396,9 @@
 		{Name: "Content-Type", Value: "text/parameters"}}, Body: []byte("link\r\nuplink\r\n")}
 	d.push(l, d.request(l, &m, call{kind: callProbe}, nil))
 }
+
+// Out tells whether an attempt is held here: waiting, out, or playing.
+func (d *Desk) Out(session uint64, number int) bool {
+	a := d.played[session]
+	return a != nil && a.setup.Attempt == number
+}
