--- a/cmd/tealledge/main.go
+++ b/cmd/tealledge/main.go
@@ -27,6 +27,7 @@
 	Day      dayCmd      `cmd:"" help:"Play a scripted day against stand-ins and judge what crossed the sockets."`
 	Load     loadCmd     `cmd:"" help:"Load a front with players, open loop; without an address, against stand-ins of its own."`
 	Measure  measureCmd  `cmd:"" help:"Measure a front beside a bare WebSocket echo, in one run."`
+	Explore  exploreCmd  `cmd:"" help:"Search the orders of events of a small world for a broken rule, on the code that runs."`
 	HLSLoad  hlsLoadCmd  `cmd:"" name:"hls-load" help:"Hold live HLS sessions at a front of its own and reload them."`
 	Capacity capacityCmd `cmd:"" help:"Find the rate that a front carries, then load it past that, with and without its overload decisions."`
 	Audit    auditCmd    `cmd:"" help:"Judge the records of a day."`
--- a/internal/explore/attempts/attempts_test.go
+++ b/internal/explore/attempts/attempts_test.go
@@ -23,6 +23,8 @@
 		"answers and leaves": {Sessions: 1, Servers: 2, Denials: 1, Errors: 1, Leaves: 1, Waits: 2},
 		"losses":             {Sessions: 1, Servers: 2, Losses: 1, Refusals: 1, Waits: 2},
 		"drains":             {Sessions: 1, Servers: 2, Drains: 1, Refusals: 1, Waits: 1, Moments: 2},
+		"a restart":          {Sessions: 2, Servers: 1, Restarts: 1, Waits: 1},
+		"two addresses":      {Sessions: 1, Servers: 1, Ways: 2, Refusals: 1, Moments: 2},
 		"two sessions":       {Sessions: 2, Servers: 2, Denials: 1, Leaves: 1},
 		"time alone":         {Sessions: 1, Servers: 1, Waits: 6},
 	} {
--- a/internal/explore/attempts/properties.go
+++ b/internal/explore/attempts/properties.go
@@ -160,6 +160,9 @@
 
 // lost tells whether a connection to a server ever broke: what was set up on it the server ends by its own time-out.
 func (w *world) lost(server int) bool {
+	if w.servers[server].lost {
+		return true
+	}
 	for _, l := range w.conns {
 		if l.dead && l.server == uint32(server+1) {
 			return true
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -4,7 +4,9 @@
 package explore
 
 import (
+	"context"
 	"fmt"
+	"math/rand"
 	"runtime"
 	"strings"
 	"sync"
@@ -268,3 +270,32 @@
 	}
 	return out
 }
+
+// Walk takes choices at random, run after run, until the time is over or a property breaks: for worlds too large to be
+// searched completely. The same source of randomness gives the same runs.
+func Walk(ctx context.Context, fresh func() System, depth int, length time.Duration, rng *rand.Rand) (r Report) {
+	began := time.Now()
+	for time.Since(began) < length && ctx.Err() == nil {
+		sys, path := fresh(), []uint8(nil)
+		for len(path) < depth {
+			n := len(sys.Enabled())
+			if n == 0 {
+				r.Runs++
+				break
+			}
+			c := rng.Intn(n)
+			path = append(path, uint8(c))
+			sys.Take(c)
+			r.Transitions++
+			if why := sys.Broken(); why != "" {
+				s := &search{fresh: fresh}
+				s.found(path, why)
+				r.Broken, r.Story, r.Took = s.report.Broken, s.report.Story, time.Since(began)
+				return r
+			}
+		}
+		r.Deepest = max(r.Deepest, len(path))
+	}
+	r.Took = time.Since(began)
+	return r
+}
