--- a/cmd/tealledge/capacity.go
+++ b/cmd/tealledge/capacity.go
@@ -79,13 +79,10 @@
 
 // step runs one rate against a fresh front.
 func (c *capacityCmd) step(ctx context.Context, rate float64, gate bool) (*load.Result, error) {
-	s, err := day.Quiet()
+	s, err := wide()
 	if err != nil {
 		return nil, err
 	}
-	s.Fronts, s.SetupTime = 1, 0
-	s.Slots, s.LinkKB, s.UplinkKB = 1e6, 1e9, 1e10
-	s.Scale()
 	dir, err := os.MkdirTemp("", "tealledge-capacity-")
 	if err != nil {
 		return nil, err
--- a/cmd/tealledge/hlsload.go
+++ b/cmd/tealledge/hlsload.go
@@ -21,13 +21,11 @@
 
 // Run holds live HLS sessions at one front and reloads them: CPU, latency and memory of the front.
 func (c *hlsLoadCmd) Run(ctx context.Context) error {
-	s, err := day.Quiet()
+	s, err := wide()
 	if err != nil {
 		return err
 	}
-	s.Fronts, s.SetupTime, s.HLS = 1, 0, 1
-	s.Slots, s.LinkKB, s.UplinkKB = 1e6, 1e9, 1e10
-	s.Scale()
+	s.HLS = 1
 	dir, err := os.MkdirTemp("", "tealledge-hls-")
 	if err != nil {
 		return err
--- a/cmd/tealledge/load.go
+++ b/cmd/tealledge/load.go
@@ -145,13 +145,10 @@
 // Run measures a front and a bare echo in turn: sessions a second in closed loops, CPU of the process a session,
 // what the front adds to an answer, bytes a held session.
 func (c *measureCmd) Run(ctx context.Context) error {
-	s, err := day.Quiet()
+	s, err := wide()
 	if err != nil {
 		return err
 	}
-	s.Fronts, s.SetupTime = 1, 0
-	s.Slots, s.LinkKB, s.UplinkKB = 1e6, 1e9, 1e10
-	s.Scale()
 	dir, err := os.MkdirTemp("", "tealledge-measure-")
 	if err != nil {
 		return err
@@ -308,3 +305,15 @@
 	list, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 	return len(list)
 }
+
+// wide gives a quiet day with one front, whose servers take whatever is asked at once: what is measured is the front.
+func wide() (*day.Script, error) {
+	s, err := day.Quiet()
+	if err != nil {
+		return nil, err
+	}
+	s.Fronts, s.SetupTime = 1, 0
+	s.Slots, s.LinkKB, s.UplinkKB = 1e6, 1e9, 1e10
+	s.Scale()
+	return s, nil
+}
