Exploration compares what decides how the core goes on, not how its wheel is laid out

Cause: a fingerprint walked the thousand slots of the timing wheel and the counters, so that a step cost ten times its work and states that behave alike did not meet.

Change: the core gives its essence, with the timers that wait in their order; settings are left out.

--- a/internal/explore/attempts/world.go
+++ b/internal/explore/attempts/world.go
@@ -440,7 +440,7 @@
 func (w *world) Fingerprint() uint64 {
 	cfg := w.left
 	cfg.Module = nil
-	return explore.NewCanon(w.now).Add(w.core).Add(w.desk).Add(w.players).Add(w.servers).Add(w.links()).Add(cfg).Add(w.watch).Sum()
+	return explore.NewCanon(w.now).Skip(policy.Settings{}).Add(w.core.Essence()).Add(w.desk).Add(w.players).Add(w.servers).Add(w.links()).Add(cfg).Add(w.watch).Sum()
 }
 
 // links gives the connections that still matter.
--- a/internal/explore/canon.go
+++ b/internal/explore/canon.go
@@ -17,6 +17,7 @@
 	h    maphash.Hash
 	now  int64
 	seen map[uintptr]int
+	skip reflect.Type
 }
 
 // NewCanon makes one for states at a time.
@@ -26,6 +27,12 @@
 	return c
 }
 
+// Skip leaves out all values of a type that never changes.
+func (c *Canon) Skip(v any) *Canon {
+	c.skip = reflect.TypeOf(v)
+	return c
+}
+
 // Sum gives the hash of all that was added.
 func (c *Canon) Sum() uint64 { return c.h.Sum64() }
 
@@ -79,6 +86,9 @@
 			c.walk(v.Index(i))
 		}
 	case reflect.Struct:
+		if v.Type() == c.skip {
+			return
+		}
 		for i := range v.NumField() {
 			c.walk(v.Field(i))
 		}
@@ -105,7 +115,7 @@
 		}
 		var list []pair
 		for it := v.MapRange(); it.Next(); {
-			k := NewCanon(c.now)
+			k := NewCanon(c.now) // keys hold no pointers here
 			k.walk(it.Key())
 			list = append(list, pair{k.Sum(), it.Value()})
 		}
--- a/internal/front/timers.go
+++ b/internal/front/timers.go
@@ -44,3 +44,23 @@
 	}
 	return c.timers.w.Next()
 }
+
+// Essence gives all that decides how the core goes on, to compare two states: sessions, what is known of servers and
+// tokens, the module, and the timers that wait. Counters are left out.
+func (c *Core) Essence() any {
+	var waiting []wheel.Waiting[timer]
+	if c.timers.w != nil {
+		waiting = c.timers.w.All()
+	}
+	return struct {
+		Sessions map[uint64]*session
+		Open     int
+		Ready    map[uint32]bool
+		Tokens   tokens
+		Alone    map[uint64]uint64
+		Closing  bool
+		Next     uint64
+		Waiting  []wheel.Waiting[timer]
+		Module   Module
+	}{c.sessions, c.open, c.ready, c.tokens, c.alone, c.closing, c.nextID, waiting, c.cfg.Module}
+}
--- a/internal/wheel/wheel.go
+++ b/internal/wheel/wheel.go
@@ -202,3 +202,27 @@
 		}
 	}
 }
+
+// Waiting is a timer that waits.
+type Waiting[T any] struct {
+	At   int64
+	Item T
+}
+
+// All gives the timers that wait, in the order in which they will come: what a wheel is, whatever its slots.
+func (w *Wheel[T]) All() (out []Waiting[T]) {
+	list := append([]entry[T](nil), w.due[w.next:]...)
+	list = append(list, w.far...)
+	for level := range w.wheel {
+		for word, used := range w.used[level] {
+			for ; used != 0; used &= used - 1 {
+				list = append(list, w.wheel[level][word*64+bits.TrailingZeros64(used)]...)
+			}
+		}
+	}
+	slices.SortFunc(list, compare[T])
+	for _, e := range list {
+		out = append(out, Waiting[T]{e.at, e.item})
+	}
+	return out
+}
