A player that reloads too fast is served again as soon as it could have anything new

Cause: each too fast reload counted the next from itself, so that a player in a tight loop was turned away for ever; a test of a truncated origin failed by it on a fresh checkout.

Change: what is too fast counts from the last playlist told.

Measured: the test in question and that of fast players pass with -race.

--- a/internal/manifest/hub.go
+++ b/internal/manifest/hub.go
@@ -424,7 +424,7 @@
 		return
 	}
 	s.mu.Lock()
-	if now := h.owner.Now(); life.TooFast(now, s.heard, s.list) {
+	if now := h.owner.Now(); life.TooFast(now, s.told, s.list) {
 		if s.fast++; life.Turned(s.fast) {
 			s.heard = now
 			s.mu.Unlock()
@@ -457,6 +457,7 @@
 	s.heard = now
 	if ok {
 		v.next = max(v.next, next)
+		s.told = now
 		m := lists[effective]
 		s.list = life.List{Target: front.Time(m.Target), Total: front.Time(m.Total()), Ended: m.Ended}
 	}
--- a/internal/manifest/session.go
+++ b/internal/manifest/session.go
@@ -32,9 +32,10 @@
 	opened front.Time
 	heard  front.Time
 	list   life.List
-	fast   int     // reloads in a row that came too fast
-	views  []*view // by rung asked for
-	gone   uint64  // discontinuities that an earlier front may have told of
+	told   front.Time // when it was told a playlist last: too fast counts from there, so that waiting ends it
+	fast   int        // reloads in a row that came too fast
+	views  []*view    // by rung asked for
+	gone   uint64     // discontinuities that an earlier front may have told of
 }
 
 // view is what one variant's player was told.
