--- a/cmd/tealledge/demo.go
+++ b/cmd/tealledge/demo.go
@@ -171,7 +171,7 @@
 	}
 	s.Fronts = 1
 	path := filepath.Join(dir, "settings.sexp")
-	if err := os.WriteFile(path, []byte(s.Settings(day.Place{Name: "demo", Listen: c.Listen, HLS: "127.0.0.1:0", List: at, State: filepath.Join(dir, "state")}, "")), 0o644); err != nil {
+	if err := os.WriteFile(path, []byte(s.Settings(day.Place{Name: "demo", Listen: c.Listen, List: at, State: filepath.Join(dir, "state")}, "")), 0o644); err != nil {
 		return err
 	}
 	front, err := spawn("serve", "--pretty", "-c", path)
--- a/internal/exchange/arrive.go
+++ b/internal/exchange/arrive.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 
 	"tealledge/decide/fate"
 	"tealledge/internal/front"
@@ -329,8 +328,3 @@
 	}
 	return len(d.played), calls
 }
-
-// String names an attempt as its header does.
-func (a *attempt) String() string {
-	return strconv.FormatUint(a.setup.Session, 10) + "/" + strconv.Itoa(a.setup.Attempt)
-}
