--- a/cmd/tealledge/main.go
+++ b/cmd/tealledge/main.go
@@ -20,6 +20,7 @@
 
 type cli struct {
 	Serve    serveCmd    `cmd:"" help:"Serve players by a settings file. SIGTERM leaves service."`
+	Platform platformCmd `cmd:"" help:"Run as a front of the operators' platform, by the configuration in NODE_CONFIG."`
 	Check    checkCmd    `cmd:"" help:"Check a settings file; every mistake is told with its line and column."`
 	Demo     demoCmd     `cmd:"" help:"Run a list, media stand-ins and one front, and stay up."`
 	Play     playCmd     `cmd:"" help:"Open one session at a front and watch it for a while."`
--- /dev/null
+++ b/cmd/tealledge/platform.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"tealledge/internal/platform/node"
+)
+
+// platformCmd is a front of the operators' platform. See docs/run/platform.md.
+type platformCmd struct {
+	Config   string `env:"NODE_CONFIG" required:"" help:"The platform's configuration, as JSON."`
+	LogLevel string `env:"TEALLEDGE_LOG" default:"info" help:"debug, info, warn or error."`
+}
+
+// Parts of the memory limit: the heap is kept under it by collecting harder, and the rest is for the program itself,
+// stacks, and the sockets' buffers.
+const memoryPart = 0.6
+
+func (c *platformCmd) Run() error {
+	cfg, err := node.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if err := cfg.Check(); err != nil {
+		return err
+	}
+	procs, memory := cfg.Limits()
+	runtime.GOMAXPROCS(procs)
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(float64(memory) * memoryPart))
+		debug.SetGCPercent(50)
+	}
+	n, err := node.New(cfg, c.Config, logger(c.LogLevel, false))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		for s := range signals {
+			switch s {
+			case syscall.SIGHUP:
+				n.Reload()
+			case syscall.SIGTERM:
+				n.Leave()
+			default:
+				stop()
+			}
+		}
+	}()
+	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("platform: %w", err)
+	}
+	return nil
+}
--- a/internal/front/api.go
+++ b/internal/front/api.go
@@ -35,6 +35,10 @@
 	MovedFor     Time // a moved player's token is good for so long
 	MovedMost    int  // tokens remembered
 	ResumeFor    Time // a session outlives its player's connection so long; 0: not at all
+
+	// KnownViewers tells that viewers are known by their numbers: one that was moved is known when it comes again, and
+	// needs no token.
+	KnownViewers bool
 }
 
 // Event is something that happened.
@@ -58,6 +62,8 @@
 	Hinted   bool
 	Again    bool
 	Token    uint64 // from a Moved; 0: none
+	ID       uint64 // the session's, if the player names it; it must not be Known. 0: the core counts
+	Text     string // a description for the server, passed on unchanged until the session plays
 	Draining bool   // set by the shell: nothing new is begun any more
 }
 
@@ -70,6 +76,7 @@
 	Attempt int
 	Took    Time
 	Report  []float64 // in the order of Settings.Fields; nil: none
+	Text    string    // the server's description, passed on unchanged
 }
 
 // Ended tells that an attempt ended, or the stream that it started. Exactly one follows each Setup.
@@ -116,6 +123,8 @@
 	Viewer  uint64
 	Rung    int
 	Name    string // of the title; "": known by its number
+	Text    string // the player's description
+	Within  Time   // the front waits so long
 }
 
 // Abandon ends the wait on an attempt that is out. The shell answers with its Ended; the server is told to tear
@@ -135,6 +144,7 @@
 	Session uint64
 	Attempt int
 	Server  uint32
+	Moved   bool // its player is told to come again
 }
 
 // SetRung sets the rung of a stream that plays.
@@ -158,6 +168,7 @@
 	Server  uint32
 	Rung    int
 	Token   uint64 // for Resume
+	Text    string // the server's description
 }
 
 // Refused turns a request away; After is a come-back time, 0 for none.
--- a/internal/front/carry.go
+++ b/internal/front/carry.go
@@ -96,7 +96,7 @@
 		timeout = left
 	}
 	c.timers.set(timer{at: c.now + timeout, kind: timerAttempt, session: s.id, attempt: s.attempts - 1})
-	c.do(Setup{s.id, s.attempts - 1, a.Server, s.ask.Title, s.ask.Class, s.ask.Viewer, s.rung, s.ask.Name})
+	c.do(Setup{s.id, s.attempts - 1, a.Server, s.ask.Title, s.ask.Class, s.ask.Viewer, s.rung, s.ask.Name, s.ask.Text, timeout})
 }
 
 func (c *Core) abandon(s *session, cause fate.Cause) {
@@ -125,10 +125,13 @@
 		return
 	}
 	c.stats.Moves++
-	token := c.cfg.Token()
+	token := s.ask.Viewer
+	if !c.cfg.KnownViewers {
+		token = c.cfg.Token()
+	}
 	c.tokens.put(token, s.ask.Viewer, c.now)
 	s.left = true
-	c.do(Stop{s.id, s.attempts - 1, s.server})
+	c.do(Stop{s.id, s.attempts - 1, s.server, true})
 	c.do(Moved{s.ask.Player, s.id, token})
 	c.finish(s, policy.CancelledSt, nil)
 }
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -145,7 +145,17 @@
 			wait = most
 		}
 	}
-	s := &session{id: c.nextID, ask: a, deadline: a.Read + wait}
+	id := c.nextID
+	if a.ID != 0 {
+		if id = a.ID; c.Known(id) { // its records would mix with the other's
+			c.fault("a request under the id of another: %d", id)
+			return
+		}
+	}
+	if c.cfg.KnownViewers {
+		a.Token = a.Viewer
+	}
+	s := &session{id: id, ask: a, deadline: a.Read + wait}
 	if s.ask.Class >= 0 && s.ask.Class < len(c.cfg.Settings.Classes) {
 		s.rung = c.cfg.Settings.Classes[a.Class].Floor
 	}
@@ -178,7 +188,7 @@
 	c.accompany(s)
 	switch {
 	case s.playing:
-		c.do(Stop{s.id, s.attempts - 1, s.server})
+		c.do(Stop{s.id, s.attempts - 1, s.server, false})
 		c.finish(s, policy.OK, nil)
 	case s.out:
 		c.settle(s)
@@ -206,13 +216,15 @@
 	}
 	s.out, s.playing = false, true
 	if !c.answer(s) {
-		c.do(Stop{s.id, e.Attempt, s.server})
+		c.do(Stop{s.id, e.Attempt, s.server, false})
 		c.finish(s, policy.CancelledSt, e.Report)
 		return
 	}
 	c.stats.Plays++
-	s.token = c.cfg.Token()
-	c.do(Plays{s.ask.Player, s.id, s.server, s.rung, s.token})
+	if s.ask.Text = ""; !c.cfg.KnownViewers {
+		s.token = c.cfg.Token()
+	}
+	c.do(Plays{s.ask.Player, s.id, s.server, s.rung, s.token, e.Text})
 	c.feed(policy.Playing{ID: s.id, Attempt: e.Attempt, Server: s.server, Took: e.Took})
 	if c.cfg.Settings.Inline {
 		c.reported(s, e.Report)
@@ -242,8 +254,11 @@
 	if s.playing {
 		c.stats.Lost += count(e.Status != policy.OK)
 		why := WhyLost
-		if e.Status == policy.OK {
+		switch e.Status {
+		case policy.OK:
 			why = WhyEnd
+		case policy.CancelledSt: // at its server, by its player
+			why = WhyLeft
 		}
 		c.do(Over{s.ask.Player, s.id, why})
 		c.finish(s, e.Status, e.Report)
@@ -322,6 +337,9 @@
 	}
 }
 
+// Known tells whether an id is in use: by a session, or by a set-up that is still being taken back.
+func (c *Core) Known(id uint64) bool { return c.sessions[id] != nil }
+
 // LastID gives the id of the request taken last.
 func (c *Core) LastID() uint64 { return c.nextID }
 
--- a/internal/serve/queue.go
+++ b/internal/inbox/inbox.go
@@ -1,4 +1,5 @@
-package serve
+// Package inbox is the bounded way from the sockets' goroutines to the goroutine that owns a front.
+package inbox
 
 import (
 	"sync"
@@ -6,8 +7,8 @@
 	"tealledge/decide/admit"
 )
 
-// queue is the bounded way from the sockets' goroutines to the owner. What a full one does is decide/admit's.
-type queue struct {
+// Queue holds what waits for the owner. What a full one does is decide/admit's.
+type Queue struct {
 	mu     sync.Mutex
 	room   sync.Cond
 	items  []any // news and advisories, taken first: they end waits
@@ -19,14 +20,18 @@
 	turned uint64 // asks refused, advisories dropped
 }
 
-func newQueue(most int) *queue {
-	q := &queue{most: most, wake: make(chan struct{}, 1)}
+// New makes a queue for at most so many items.
+func New(most int) *Queue {
+	q := &Queue{most: most, wake: make(chan struct{}, 1)}
 	q.room.L = &q.mu
 	return q
 }
 
-// put adds an item; it gives false if it was turned away. Items of kind News wait for room.
-func (q *queue) put(kind admit.Kind, item any) bool {
+// Wake is rung when something has entered.
+func (q *Queue) Wake() <-chan struct{} { return q.wake }
+
+// Put adds an item; it gives false if it was turned away. Items of kind News wait for room.
+func (q *Queue) Put(kind admit.Kind, item any) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for {
@@ -51,9 +56,9 @@
 	}
 }
 
-// force adds an item past the bound: the end of a connection, of which there are no more than connections. The
+// Force adds an item past the bound: the end of a connection, of which there are no more than connections. The
 // goroutine that tells it may be the one that all sockets wait on.
-func (q *queue) force(item any) {
+func (q *Queue) Force(item any) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.closed {
@@ -61,12 +66,12 @@
 	}
 }
 
-func (q *queue) add(item any) {
+func (q *Queue) add(item any) {
 	q.items = append(q.items, item)
 	q.ring()
 }
 
-func (q *queue) ring() {
+func (q *Queue) ring() {
 	q.peak = max(q.peak, len(q.items)+len(q.asks))
 	select {
 	case q.wake <- struct{}{}:
@@ -74,9 +79,9 @@
 	}
 }
 
-// take gives up to n items: news first, then asks, each in order. Asks get at least a quarter of the batch, so that
+// Take gives up to n items: news first, then asks, each in order. Asks get at least a quarter of the batch, so that
 // no stream of notes keeps them out. backlog tells how many asks wait still.
-func (q *queue) take(n int, into []any) (list []any, backlog int) {
+func (q *Queue) Take(n int, into []any) (list []any, backlog int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	asks := min(len(q.asks), max(n/4, n-len(q.items)))
@@ -96,14 +101,16 @@
 	return into
 }
 
-func (q *queue) close() {
+// Close ends the queue: nothing enters it any more, and nobody waits for room.
+func (q *Queue) Close() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.closed = true
 	q.room.Broadcast()
 }
 
-func (q *queue) stats() (length, peak int, turned uint64) {
+// Stats tells how many items wait, how many waited at most, and how many were turned away.
+func (q *Queue) Stats() (length, peak int, turned uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return len(q.items) + len(q.asks), q.peak, q.turned
--- /dev/null
+++ b/internal/platform/node/node.go
@@ -0,0 +1,580 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tealledge/decide/admit"
+	"tealledge/internal/front"
+	"tealledge/internal/inbox"
+	"tealledge/internal/platform/journal"
+	"tealledge/internal/platform/servers"
+	"tealledge/internal/platform/viewers"
+	"tealledge/internal/platform/wire"
+	"tealledge/policy"
+)
+
+// Spans and sizes of the shell.
+const (
+	batchMost    = 256
+	tickEvery    = 25 * time.Millisecond
+	queueMost    = 8192
+	openMost     = 256                     // requests without their answer on one viewer's connection
+	silentMost   = 2 * policy.Second       // a connection that never said anything
+	halfMost     = 2 * policy.Second       // a line that stays half
+	idleMost     = 6 * policy.Second       // a connection without sessions: viewers close theirs after 4 s
+	answerMargin = 10 * policy.Millisecond // the module is told deadlines this much earlier
+	lastLine     = 2 * policy.Millisecond
+	movedFor     = 10 * policy.Second
+	reserve      = 48 // descriptors that are neither viewers' nor servers'
+	statsEvery   = 10 * policy.Second
+	leaveAfter   = 1500 * policy.Millisecond // requests come for so long after SIGTERM, with room
+	leaveMost    = 60 * policy.Second
+)
+
+// Node is one front.
+type Node struct {
+	cfg     *Config
+	path    string
+	log     zerolog.Logger
+	start   time.Time
+	core    *front.Core
+	servers *servers.Desk
+	viewers *viewers.Desk
+	follow  *journal.Follower
+	links   *links
+	feed    *links
+	clients *clients
+	queue   *inbox.Queue
+	hosts   hosts
+	owners  map[uint64]uint32 // of connections to servers, by connection
+	leaving front.Time        // SIGTERM came then; 0: it did not
+	faults  uint64
+	done    chan struct{}
+}
+
+// New makes a front from its configuration and listens; viewers are served once Run is called.
+func New(cfg *Config, path string, log zerolog.Logger) (*Node, error) {
+	n := &Node{cfg: cfg, path: path, log: log, start: time.Now(), queue: inbox.New(queueMost), done: make(chan struct{}),
+		owners: map[uint64]uint32{}}
+	n.hosts = newHosts(cfg.Names.Zones, cfg.Names.Kinds)
+	for _, text := range cfg.Bad {
+		log.Warn().Str("from", "configuration").Msg(text)
+	}
+	n.core = front.New(front.Config{Settings: cfg.Settings, Module: policy.New(cfg.Settings, cfg.Seed), KnownViewers: true,
+		AnswerMargin: answerMargin, LastLine: lastLine, MovedFor: movedFor, MovedMost: 10_000})
+	wait := max(cfg.Settings.ConnectWait, 50*policy.Millisecond)
+	n.servers = servers.New(servers.Config{Classes: cfg.Names.Classes, Fields: cfg.Names.Fields, Connect: wait, ProbeWait: wait})
+	conns := 4096
+	if cfg.Sockets > 0 {
+		conns = max(cfg.Sockets-reserve-2*cfg.hostsMost(), cfg.Sockets/3)
+	}
+	n.viewers = viewers.New(viewers.Config{Settings: cfg.Settings, Classes: cfg.Names.Classes, Host: n.hosts.number, ConnsMost: conns,
+		OpenMost: openMost, Silent: silentMost, Half: halfMost, Idle: idleMost})
+	n.follow = journal.New(cfg.Journal, cfg.Pos, rand.Float64)
+	n.links, n.feed = newLinks(serverSink{n}), newLinks(feedSink{n})
+	for _, e := range cfg.Known {
+		n.listed(e)
+	}
+	var err error
+	n.clients, err = listen(cfg.Listen, clientSink{n})
+	if err != nil {
+		return nil, fmt.Errorf("viewers: %w", err)
+	}
+	return n, nil
+}
+
+// hostsMost is how many servers connections are kept for: those known, and as many again that replace them.
+func (c *Config) hostsMost() (most int) {
+	for _, e := range c.Known {
+		most = max(most, len(e.Hosts.Hosts))
+	}
+	return min(most, 200)
+}
+
+// now is the module's clock: Unix time at the start, monotonic from there.
+func (n *Node) now() front.Time { return n.start.UnixNano() + int64(time.Since(n.start)) }
+
+// Run serves until ctx ends or, after Leave, until nothing can be owed any more.
+func (n *Node) Run(ctx context.Context) error {
+	served := make(chan error, 1)
+	go func() { served <- n.clients.loop.Serve(n.clients.ln) }()
+	go n.own(ctx)
+	<-n.done
+	end, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	n.queue.Close()
+	n.clients.close(end)
+	n.links.close()
+	n.feed.close()
+	return <-served
+}
+
+// Reload has the configuration read again; Leave tells that the front is to go.
+func (n *Node) Reload() { n.queue.Force(reload{}) }
+
+// Leave has the front run on until nothing can be owed.
+func (n *Node) Leave() { n.queue.Force(leave{}) }
+
+// ---- What the sockets bring ----
+
+type (
+	accepted struct{ conn uint64 }
+	said     struct {
+		conn    uint64
+		read    front.Time
+		list    []viewers.In
+		broken  error
+		partial bool
+	}
+	left       struct{ conn uint64 }
+	connected  struct{ conn uint64 }
+	dialFailed struct {
+		conn    uint64
+		refused bool
+	}
+	received struct {
+		conn uint64
+		b    []byte
+	}
+	lost      struct{ conn, begun uint64 }
+	feedUp    struct{ conn uint64 }
+	feedLost  struct{ conn uint64 }
+	feedBytes struct {
+		conn uint64
+		b    []byte
+	}
+	reload  struct{}
+	leave   struct{}
+	inspect struct{ reply chan Snapshot }
+)
+
+type clientSink struct{ n *Node }
+
+func (k clientSink) accepted(conn uint64) { k.n.queue.Force(accepted{conn}) }
+func (k clientSink) left(conn uint64)     { k.n.queue.Put(admit.News, left{conn}) }
+func (k clientSink) said(conn uint64, list []viewers.In, broken error, partial bool) {
+	// Lines of one connection keep their order: a request and the word that it is given up must not change places.
+	k.n.queue.Put(admit.News, said{conn, k.n.now(), list, broken, partial})
+}
+
+type serverSink struct{ n *Node }
+
+func (k serverSink) connected(conn uint64) { k.n.queue.Force(connected{conn}) }
+func (k serverSink) dialFailed(conn uint64, refused bool) {
+	k.n.queue.Force(dialFailed{conn, refused})
+}
+func (k serverSink) received(conn uint64, b []byte) { k.n.queue.Put(admit.News, received{conn, b}) }
+func (k serverSink) lost(conn uint64, begun uint64) { k.n.queue.Force(lost{conn, begun}) }
+
+type feedSink struct{ n *Node }
+
+func (k feedSink) connected(conn uint64)          { k.n.queue.Force(feedUp{conn}) }
+func (k feedSink) dialFailed(conn uint64, _ bool) { k.n.queue.Force(feedLost{conn}) }
+func (k feedSink) lost(conn uint64, _ uint64)     { k.n.queue.Force(feedLost{conn}) }
+func (k feedSink) received(conn uint64, b []byte) {
+	k.n.queue.Put(admit.News, feedBytes{conn, b})
+}
+
+// ---- The owner ----
+
+func (n *Node) own(ctx context.Context) {
+	defer close(n.done)
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
+	var batch []any
+	var readUntil, tickAt, statsAt front.Time
+	last := n.now()
+	statsAt = last + statsEvery
+	var cut feedCut
+	for {
+		now := n.now()
+		if wait := admit.Standstill(now - last); wait > 0 {
+			readUntil = now + wait
+			n.log.Warn().Int64("ms", (now-last)/policy.Millisecond).Msg("stood still")
+		}
+		last = now
+		batch, _ = n.queue.Take(batchMost, batch)
+		for _, item := range batch {
+			n.handle(item, &cut)
+		}
+		if now = n.now(); now < readUntil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		n.carry(n.core.Advance(now))
+		n.settle()
+		if now >= tickAt {
+			tickAt = now + front.Time(tickEvery)
+			n.servers.Tick(now)
+			n.viewers.Tick(now)
+			n.follow.Tick(now)
+			n.settle()
+		}
+		if now >= statsAt {
+			statsAt = now + statsEvery
+			n.tell()
+		}
+		if n.over(now) || ctx.Err() != nil {
+			n.tell()
+			return
+		}
+		if len(batch) == batchMost {
+			continue
+		}
+		wait := time.Duration(tickAt - now)
+		if at, ok := n.core.Next(); ok {
+			wait = min(wait, time.Duration(at-now))
+		}
+		if wait <= 0 {
+			continue
+		}
+		timer.Reset(wait)
+		select {
+		case <-n.queue.Wake():
+		case <-timer.C:
+		}
+	}
+}
+
+// over tells whether a front that is to leave has nothing left to do. Standing sessions would end with it.
+func (n *Node) over(now front.Time) bool {
+	if n.leaving == 0 || now < n.leaving+leaveAfter {
+		return false
+	}
+	return n.core.Open() == 0 && n.core.Held() == 0 || now >= n.leaving+leaveMost
+}
+
+// feedCut cuts the journal's stream, anew for each connection.
+type feedCut struct {
+	conn uint64
+	cut  *wire.Splitter
+}
+
+func (n *Node) handle(item any, cut *feedCut) {
+	now := n.now()
+	switch e := item.(type) {
+	case accepted:
+		n.viewers.Accepted(now, e.conn)
+	case said:
+		n.viewers.Received(now, e.read, e.conn, e.list, e.broken, e.partial, n.core.Known)
+	case left:
+		n.viewers.Lost(now, e.conn)
+	case connected:
+		n.servers.Connected(now, n.owners[e.conn], e.conn)
+	case dialFailed:
+		n.servers.DialFailed(now, n.owners[e.conn], e.conn, e.refused)
+		delete(n.owners, e.conn)
+	case received:
+		n.servers.Received(now, n.owners[e.conn], e.conn, e.b)
+	case lost:
+		n.servers.Lost(now, n.owners[e.conn], e.conn, e.begun)
+		delete(n.owners, e.conn)
+	case feedUp:
+		n.follow.Connected(now, e.conn)
+	case feedLost:
+		n.follow.Lost(now, e.conn)
+	case feedBytes:
+		if cut.conn != e.conn || cut.cut == nil {
+			cut.conn, cut.cut = e.conn, wire.NewSplitter(wire.MaxEvent)
+		}
+		cut.cut.Feed(e.b)
+		for {
+			line, err := cut.cut.Next()
+			if line == nil && err == nil {
+				break
+			}
+			if err != nil {
+				n.follow.Received(now, e.conn, nil, err)
+				break
+			}
+			n.follow.Received(now, e.conn, [][]byte{line}, nil)
+		}
+	case reload:
+		n.reload(now)
+	case leave:
+		if n.leaving == 0 {
+			n.leaving = now
+			n.log.Info().Int("open", n.core.Open()).Int("held", n.core.Held()).Msg("leaving")
+		}
+	case inspect:
+		e.reply <- n.snapshot()
+	}
+	n.settle()
+}
+
+// settle carries out what the dialogues have come up with, until all is quiet.
+func (n *Node) settle() {
+	for {
+		feed, events := n.follow.Take()
+		for _, a := range feed {
+			switch {
+			case a.Dial != "":
+				n.feed.dial(a.Conn, a.Dial, time.Duration(a.Within))
+			case a.Close:
+				n.feed.shut(a.Conn)
+			default:
+				n.feed.send(a.Conn, a.Bytes)
+			}
+		}
+		for _, e := range events {
+			n.listed(e)
+		}
+		acts, news := n.servers.Take()
+		for _, a := range acts {
+			switch {
+			case a.Dial != "":
+				n.owners[a.Conn] = a.Server
+				n.links.dial(a.Conn, a.Dial, time.Duration(a.Within))
+			case a.Close:
+				n.links.shut(a.Conn)
+			default:
+				n.links.send(a.Conn, a.Bytes)
+			}
+		}
+		says, asks := n.viewers.Take()
+		for _, a := range says {
+			if a.Close {
+				n.clients.shut(a.Conn, a.Bytes)
+			} else {
+				n.clients.send(a.Conn, a.Bytes)
+			}
+		}
+		if len(feed)+len(events)+len(acts)+len(news)+len(says)+len(asks) == 0 {
+			return
+		}
+		for _, e := range append(news, asks...) {
+			n.step(e)
+		}
+	}
+}
+
+func (n *Node) step(e front.Event) {
+	now := n.now()
+	if a, ok := e.(front.Adopt); ok {
+		if !n.servers.Adopt(now, front.Setup{Session: a.ID, Server: a.Server, Title: a.Title, Class: a.Class, Viewer: a.Viewer, Name: a.Name}) {
+			n.log.Warn().Str("session", wire.Sid(a.ID)).Msg("handed over at a server that is not known")
+			return
+		}
+	}
+	n.carry(n.core.Step(now, e))
+}
+
+func (n *Node) carry(effects []front.Effect) {
+	if len(effects) == 0 {
+		return
+	}
+	now := n.now()
+	var ended []uint64
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case front.Log:
+			n.log.Info().Str("from", "module").Msg(e.Text)
+		case front.Fault:
+			n.faults++
+			n.log.Error().Msg("fault: " + e.Text)
+		case front.Follow: // the journal is followed all the time
+		case front.Plays:
+			if !n.viewers.Do(now, e) {
+				ended = append(ended, e.Session)
+			}
+		case front.Refused, front.Failed, front.Moved, front.Over:
+			n.viewers.Do(now, e)
+		default:
+			n.servers.Do(now, e)
+		}
+	}
+	for _, id := range ended {
+		n.carry(append([]front.Effect(nil), n.core.Step(now, front.Leave{Session: id})...))
+	}
+}
+
+// listed passes an event of the journal on: to the core first, which takes back what was not sent to a server that
+// drains before its connection is touched.
+func (n *Node) listed(e wire.Event) {
+	now := n.now()
+	kind := policy.ListDelta
+	if e.Hosts.Whole {
+		kind = policy.ListFull
+	}
+	entries, list, bad := n.hosts.take(e.Hosts)
+	for _, text := range bad {
+		n.log.Warn().Uint64("event", e.Pos).Msg(text)
+	}
+	n.log.Info().Uint64("event", e.Pos).Bool("whole", e.Hosts.Whole).Int("entries", len(entries)).Msg("server list")
+	n.servers.Listed(now, list)
+	n.carry(n.core.Step(now, front.Listed{List: policy.List{Kind: kind, Entries: entries}}))
+}
+
+// reload reads the configuration again. A file that can't be used changes nothing.
+func (n *Node) reload(now front.Time) {
+	c, err := Load(n.path)
+	if err != nil {
+		n.log.Error().Err(err).Msg("configuration not taken; the old one stands")
+		return
+	}
+	n.log.Info().Str("journal", c.Journal).Msg("configuration read again")
+	n.follow.Moved(now, c.Journal)
+}
+
+// ---- A look inside ----
+
+// Snapshot is a look inside a front.
+type Snapshot struct {
+	front.Stats
+	Open, Held, Ready          int
+	Attempts, Lines, Links     int
+	Conns, Sessions, Recent    int
+	Owed, Hosts, Owners, Queue int
+	Pos                        uint64
+	Viewers                    viewers.Stats
+	Servers                    servers.Stats
+	Journal                    journal.Stats
+}
+
+func (n *Node) snapshot() (s Snapshot) {
+	s.Stats, s.Open, s.Held, s.Ready = n.core.Stats(), n.core.Open(), n.core.Held(), n.core.Ready()
+	s.Attempts, s.Lines, s.Links = n.servers.Counts()
+	s.Conns, s.Sessions, s.Recent, s.Owed = n.viewers.Counts()
+	s.Hosts, s.Owners, s.Pos = n.hosts.len(), len(n.owners), n.follow.Pos()
+	s.Queue, _, _ = n.queue.Stats()
+	s.Viewers, s.Servers, s.Journal = n.viewers.Stats, n.servers.Stats, n.follow.Stats
+	return s
+}
+
+func (n *Node) tell() {
+	n.log.Info().Str("state", strings.Trim(fmt.Sprintf("%+v", n.snapshot()), "{}")).Msg("state")
+}
+
+// Inspect gives a look inside; it fails if the front has left.
+func (n *Node) Inspect(ctx context.Context) (Snapshot, error) {
+	reply := make(chan Snapshot, 1)
+	n.queue.Force(inspect{reply})
+	select {
+	case s := <-reply:
+		return s, nil
+	case <-n.done:
+		return Snapshot{}, fmt.Errorf("the front has left")
+	case <-ctx.Done():
+		return Snapshot{}, ctx.Err()
+	}
+}
+
+func sortedNames(m map[string]uint32) []string { return slices.Sorted(maps.Keys(m)) }
+
+// ---- Names of the list ----
+
+// hosts gives servers the module's numbers, and forgets those that left the list.
+type hosts struct {
+	zones, kinds map[string]int
+	byName       map[string]uint32
+	taken        map[uint32]bool
+	next         uint32
+}
+
+func newHosts(zones, kinds []string) hosts {
+	h := hosts{zones: map[string]int{}, kinds: map[string]int{}, byName: map[string]uint32{}, taken: map[uint32]bool{}}
+	for i, z := range zones {
+		h.zones[z] = i
+	}
+	for i, k := range kinds {
+		h.kinds[k] = i
+	}
+	return h
+}
+
+func (h *hosts) len() int { return len(h.byName) }
+
+func (h *hosts) number(name string) (uint32, bool) {
+	id, ok := h.byName[name]
+	return id, ok
+}
+
+// give finds a number for a name: the one that it ends in, if it is free, so that logs are easy to compare.
+func (h *hosts) give(name string) uint32 {
+	if id, ok := h.byName[name]; ok {
+		return id
+	}
+	var id uint32
+	if _, digits, ok := strings.Cut(name, "-"); ok && len(digits) == 8 {
+		if v, err := strconv.ParseUint(digits, 16, 32); err == nil {
+			id = uint32(v)
+		}
+	}
+	for id == 0 || h.taken[id] {
+		h.next++
+		id = h.next
+	}
+	h.byName[name], h.taken[id] = id, true
+	return id
+}
+
+// take translates an event. What of it can't be used is told in bad.
+func (h *hosts) take(e *wire.Hosts) (entries []policy.Entry, list []servers.Server, bad []string) {
+	health := map[string]policy.Health{wire.HostReady: policy.Ready, wire.HostDraining: policy.Draining, wire.HostGone: policy.Removed}
+	named := map[string]bool{}
+	for _, x := range e.Hosts {
+		named[x.Name] = true
+		zone, ok := h.zones[x.Zone]
+		if !ok && len(h.zones) > 0 {
+			bad = append(bad, fmt.Sprintf("%s: no zone %.32q", x.Name, x.Zone))
+		}
+		kind, ok := h.kinds[x.Kind]
+		if !ok && len(h.kinds) > 0 {
+			bad = append(bad, fmt.Sprintf("%s: no kind %.32q", x.Name, x.Kind))
+		}
+		if _, known := h.byName[x.Name]; !known && x.Health == wire.HostGone {
+			continue
+		}
+		id := h.give(x.Name)
+		entry := policy.Entry{Server: id, Zone: zone, Kind: kind, Cell: x.Cell, Health: health[x.Health], Size: x.Share,
+			Started: x.Started * policy.Millisecond}
+		entries = append(entries, entry)
+		list = append(list, servers.Server{ID: id, Addr: x.Dial, Started: entry.Started, Drains: entry.Health != policy.Ready,
+			Gone: entry.Health == policy.Removed})
+		if entry.Health == policy.Removed {
+			h.forget(x.Name)
+		}
+	}
+	if e.Whole {
+		for _, name := range sortedNames(h.byName) {
+			if !named[name] {
+				list = append(list, servers.Server{ID: h.byName[name], Drains: true, Gone: true})
+				h.forget(name)
+			}
+		}
+	}
+	return entries, list, bad
+}
+
+// forget drops a name. Its number is not given again to another name while this front runs, unless that ends in it.
+func (h *hosts) forget(name string) {
+	delete(h.taken, h.byName[name])
+	delete(h.byName, name)
+}
+
+// Limits tells the run time what it may use.
+func (c *Config) Limits() (procs int, memory int64) {
+	procs = max(int(c.Cores+0.5), 1)
+	return procs, int64(c.MemoryMB) << 20
+}
+
+// Check compares the configuration with what the environment says.
+func (c *Config) Check() error {
+	if name := os.Getenv("NODE_NAME"); name != "" && name != c.Name {
+		return fmt.Errorf("NODE_NAME is %q, the configuration is for %q", name, c.Name)
+	}
+	if addr := os.Getenv("NODE_LISTEN"); addr != "" && addr != c.Listen {
+		return fmt.Errorf("NODE_LISTEN is %q, the configuration says %q", addr, c.Listen)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/wire/line.go
@@ -0,0 +1,199 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// Names of the viewers' messages.
+const (
+	LineOpen     = "open"
+	LineTrying   = "trying"
+	LineReady    = "ready"
+	LineClose    = "close"
+	LineClosed   = "closed"
+	LineProbe    = "probe"
+	LineProbed   = "probed"
+	LineEvent    = "event"
+	LineLevel    = "level"
+	LineRelocate = "relocate"
+)
+
+// Line is a viewer's message, or one to a viewer.
+type Line struct {
+	Msg   string
+	Sid   uint64 // 0: it named none that could be read
+	Attrs map[string]string
+	Code  int
+	Text  string
+}
+
+// lineForm is a line's JSON.
+type lineForm struct {
+	Msg   string            `json:"msg"`
+	Sid   string            `json:"sid"`
+	Attrs map[string]string `json:"attrs"`
+	Code  *int              `json:"code,omitempty"`
+	Text  *string           `json:"text,omitempty"`
+}
+
+// maxAttrs bounds the fields of a line.
+const maxAttrs = 32
+
+// ParseSid reads 16 hex digits in lower case; 0 names nothing.
+func ParseSid(text string) (uint64, bool) {
+	if len(text) != 16 || strings.ToLower(text) != text {
+		return 0, false
+	}
+	v, err := strconv.ParseUint(text, 16, 64)
+	return v, err == nil && v != 0
+}
+
+// ParseLine reads a line without its line feed. The error tells why it can't be used; the line then holds what could
+// be read, so that the answer may name its session.
+func ParseLine(b []byte) (l Line, err error) {
+	if len(b) >= MaxMessage {
+		return l, fmt.Errorf("a line of %d bytes, %d at most", len(b)+1, MaxMessage)
+	}
+	// Danger: the JSON reader replaces what is no UTF-8, and a description must pass on unchanged.
+	if !utf8.Valid(b) {
+		return l, errors.New("a line is no UTF-8")
+	}
+	var raw struct {
+		Msg   string                     `json:"msg"`
+		Sid   string                     `json:"sid"`
+		Attrs map[string]json.RawMessage `json:"attrs"`
+		Code  json.RawMessage            `json:"code"`
+		Text  string                     `json:"text"`
+	}
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return l, fmt.Errorf("a line is no message: %w", err)
+	}
+	sid, sidOK := ParseSid(raw.Sid)
+	l = Line{Msg: raw.Msg, Sid: sid, Text: raw.Text, Attrs: make(map[string]string, len(raw.Attrs))}
+	if strings.ContainsRune(l.Text, utf8.RuneError) { // half a surrogate pair was replaced
+		return l, errors.New("a description that can't be passed on unchanged")
+	}
+	if len(raw.Attrs) > maxAttrs {
+		return l, fmt.Errorf("%d fields, %d at most", len(raw.Attrs), maxAttrs)
+	}
+	for k, v := range raw.Attrs {
+		text, err := attr(v)
+		if err != nil {
+			return l, fmt.Errorf("field %.32q: %w", k, err)
+		}
+		l.Attrs[k] = text
+	}
+	if len(raw.Code) > 0 {
+		text, err := attr(raw.Code)
+		if err != nil {
+			return l, fmt.Errorf("cause: %w", err)
+		}
+		if l.Code, err = strconv.Atoi(text); err != nil || l.Code < 0 || l.Code > 255 {
+			return l, fmt.Errorf("a cause of %.16q", text)
+		}
+	}
+	if !sidOK {
+		return l, errors.New("no session id")
+	}
+	return l, nil
+}
+
+// attr reads a string or a number.
+func attr(v json.RawMessage) (string, error) {
+	v = bytes.TrimSpace(v)
+	if len(v) == 0 {
+		return "", errors.New("empty")
+	}
+	if v[0] == '"' {
+		var s string
+		err := json.Unmarshal(v, &s)
+		return s, err
+	}
+	if v[0] == '-' || v[0] >= '0' && v[0] <= '9' {
+		return string(v), nil
+	}
+	return "", errors.New("neither string nor number")
+}
+
+// Append writes the line behind b, line feed included. A line over MaxMessage, or a text that is no UTF-8, is an error.
+func (l *Line) Append(b []byte) ([]byte, error) {
+	if !utf8.ValidString(l.Text) {
+		return b, errors.New("a description that is no UTF-8")
+	}
+	form := lineForm{Msg: l.Msg, Sid: Sid(l.Sid), Attrs: l.Attrs}
+	if form.Attrs == nil {
+		form.Attrs = map[string]string{}
+	}
+	if l.Msg == LineClose || l.Msg == LineProbed || l.Code != 0 {
+		form.Code = &l.Code
+	}
+	if l.Msg == LineReady || l.Text != "" {
+		form.Text = &l.Text
+	}
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out) // it ends the line itself
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(form); err != nil {
+		return b, err
+	}
+	if out.Len() > MaxMessage {
+		return b, fmt.Errorf("a line of %d bytes, %d at most", out.Len(), MaxMessage)
+	}
+	return append(b, out.Bytes()...), nil
+}
+
+// Sid writes a session id.
+func Sid(id uint64) string { return fmt.Sprintf("%016x", id) }
+
+// Splitter cuts a stream into lines, each of a bounded length.
+type Splitter struct {
+	most int
+	buf  []byte
+	err  error
+}
+
+// NewSplitter makes one for lines of at most so many bytes, line feed included.
+func NewSplitter(most int) *Splitter { return &Splitter{most: most} }
+
+// Feed adds bytes that were read; they are copied. After a line that is too long nothing is kept any more.
+func (s *Splitter) Feed(b []byte) {
+	if s.err != nil {
+		return
+	}
+	// Danger: a line without end would be held whole. What is past the bound is not even copied.
+	if nl := bytes.IndexByte(b, '\n'); nl < 0 && len(s.buf)+len(b) > s.most {
+		s.err, s.buf = fmt.Errorf("a line of more than %d bytes", s.most), nil
+		return
+	}
+	s.buf = append(s.buf, b...)
+}
+
+// Partial tells whether a line has begun and not ended.
+func (s *Splitter) Partial() bool { return s.err == nil && len(s.buf) > 0 }
+
+// Next gives the next line without its line feed, good until the next Feed; nil if none is whole.
+func (s *Splitter) Next() ([]byte, error) {
+	if s.err != nil {
+		return nil, s.err
+	}
+	nl := bytes.IndexByte(s.buf, '\n')
+	if nl < 0 && len(s.buf) <= s.most {
+		if len(s.buf) == 0 {
+			s.buf = nil
+		}
+		return nil, nil
+	}
+	if nl < 0 || nl >= s.most {
+		s.err, s.buf = fmt.Errorf("a line of more than %d bytes", s.most), nil
+		return nil, s.err
+	}
+	line := s.buf[:nl]
+	s.buf = s.buf[nl+1:]
+	return bytes.TrimSuffix(line, []byte("\r")), nil
+}
--- a/internal/serve/hls.go
+++ b/internal/serve/hls.go
@@ -23,7 +23,7 @@
 	o.s.open(c, ask)
 }
 
-func (o hlsOwner) End(session uint64) { o.s.queue.put(admit.News, ended{session}) }
+func (o hlsOwner) End(session uint64) { o.s.queue.Put(admit.News, ended{session}) }
 
 func (o hlsOwner) Number(name string) (uint64, bool) {
 	text, ok := strings.CutPrefix(name, o.s.cfg.Front.Name+"-")
--- a/internal/serve/keeper.go
+++ b/internal/serve/keeper.go
@@ -158,7 +158,7 @@
 		}
 		k.waiting[e.Session] = held{e, now}
 		k.st.Session(k.record(e.Session, e.Server, e.Attempt, e.Rung, recovery.Out, 0), func(took time.Duration, err error) {
-			k.s.queue.force(stored{e.Session, e.Attempt, took, err})
+			k.s.queue.Force(stored{e.Session, e.Attempt, took, err})
 		})
 		return true
 	case front.Abandon:
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -22,6 +22,7 @@
 	"tealledge/internal/config"
 	"tealledge/internal/exchange"
 	"tealledge/internal/front"
+	"tealledge/internal/inbox"
 	"tealledge/internal/manifest"
 	"tealledge/internal/media"
 	"tealledge/internal/players"
@@ -49,7 +50,7 @@
 	links      *media.Links
 	hub        *players.Hub
 	hls        *manifest.Hub // nil: not served
-	queue      *queue
+	queue      *inbox.Queue
 	view       members.View
 	index      indexBox
 	cache      serverlist.Cache
@@ -95,7 +96,7 @@
 // New makes a front and listens; nothing is taken before Run.
 func New(cfg *config.Config, log zerolog.Logger) (*Server, error) {
 	s := &Server{cfg: cfg, log: log, start: time.Now(), https: map[uint32]string{}, calls: map[uint64]Caller{},
-		byID: map[uint64]Caller{}, queue: newQueue(cfg.Front.Queue), finished: make(chan struct{})}
+		byID: map[uint64]Caller{}, queue: inbox.New(cfg.Front.Queue), finished: make(chan struct{})}
 	seed := uint64(s.start.UnixNano())
 	s.gate = overload.New(weights(cfg))
 	s.keep = newKeeper(s)
@@ -176,7 +177,7 @@
 	go func() {
 		defer s.group.Done()
 		serverlist.Follow(s.ctx, s.source, s.index.get, func(a serverlist.Answer, err error) {
-			s.queue.put(admit.Advisory, listAnswer{a, err})
+			s.queue.Put(admit.Advisory, listAnswer{a, err})
 		})
 	}()
 	s.background(s.ctx)
@@ -194,7 +195,7 @@
 			err = errors.New("players: the listener ended")
 		}
 	}
-	s.queue.force(leave{})
+	s.queue.Force(leave{})
 	<-s.finished
 	s.cancel()
 	end, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -204,7 +205,7 @@
 		s.hls.Shutdown(end)
 	}
 	s.links.Close()
-	s.queue.close()
+	s.queue.Close()
 	s.group.Wait()
 	return err
 }
@@ -264,7 +265,7 @@
 
 // open takes a request of any kind of player.
 func (s *Server) open(call Caller, ask front.Ask) {
-	if !s.queue.put(admit.Ask, asked{call, ask}) {
+	if !s.queue.Put(admit.Ask, asked{call, ask}) {
 		// The queue is full of work already taken: turned away before any work is spent, and never begun.
 		busy(call, s.comeBack())
 	}
@@ -276,7 +277,7 @@
 }
 
 func (o owner) Resume(call *players.Call, session, token uint64) {
-	o.s.queue.put(admit.News, resumed{call, session, token})
+	o.s.queue.Put(admit.News, resumed{call, session, token})
 }
 
 func (o owner) Limited() bool { return o.s.limited.Load() }
@@ -334,23 +335,23 @@
 }
 
 func (o owner) Close(call *players.Call, session uint64) {
-	o.s.queue.put(admit.News, closed{call, session})
+	o.s.queue.Put(admit.News, closed{call, session})
 }
-func (o owner) Gone(conn *players.Conn) { o.s.queue.force(playerGone{conn.Sessions}) }
+func (o owner) Gone(conn *players.Conn) { o.s.queue.Force(playerGone{conn.Sessions}) }
 
 // sink is the links' view of the server.
 type sink struct{ s *Server }
 
-func (k sink) Connected(server uint32, conn uint64) { k.s.queue.force(connected{uint64(server), conn}) }
+func (k sink) Connected(server uint32, conn uint64) { k.s.queue.Force(connected{uint64(server), conn}) }
 func (k sink) DialFailed(server uint32, conn uint64, err error) {
 	k.s.log.Debug().Uint32("server", server).Err(err).Msg("dial failed")
-	k.s.queue.force(dialFailed{uint64(server), conn})
+	k.s.queue.Force(dialFailed{uint64(server), conn})
 }
 func (k sink) Received(server uint32, conn uint64, list []*rtsp.Message) {
-	k.s.queue.put(admit.News, received{uint64(server), conn, list})
+	k.s.queue.Put(admit.News, received{uint64(server), conn, list})
 }
 func (k sink) Lost(server uint32, conn uint64, begun uint64) {
-	k.s.queue.force(lost{uint64(server), conn, begun})
+	k.s.queue.Force(lost{uint64(server), conn, begun})
 }
 
 // ---- The owner ----
@@ -370,7 +371,7 @@
 			s.log.Warn().Dur("gap", time.Duration(now-last)).Msg("stood still")
 		}
 		last = now
-		batch, s.backlog = s.queue.take(batchMost, batch)
+		batch, s.backlog = s.queue.Take(batchMost, batch)
 		s.waiting.Store(int64(s.backlog))
 		for _, item := range batch {
 			s.handle(item)
@@ -421,7 +422,7 @@
 		}
 		timer.Reset(wait)
 		select {
-		case <-s.queue.wake:
+		case <-s.queue.Wake():
 		case <-timer.C:
 		}
 	}
@@ -717,7 +718,7 @@
 
 func (s *Server) snapshot() Snapshot {
 	held, calls := s.desk.Counts()
-	_, peak, turned := s.queue.stats()
+	_, peak, turned := s.queue.Stats()
 	return Snapshot{Stats: s.core.Stats(), Open: s.core.Open(), Held: s.core.Held(), Attempts: held, Calls: calls,
 		QueuePeak: peak, Ready: s.core.Ready(), TurnedAway: turned, Handles: len(s.calls), Kept: len(s.byID)}
 }
@@ -725,7 +726,7 @@
 // Inspect gives a snapshot; it fails if the front has left.
 func (s *Server) Inspect(ctx context.Context) (Snapshot, error) {
 	reply := make(chan Snapshot, 1)
-	s.queue.force(inspect{reply})
+	s.queue.Force(inspect{reply})
 	select {
 	case snap := <-reply:
 		return snap, nil
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package simwire
+// Package settings reads what a front is told when it starts, in the names and units of the operators' simulator: as
+// path=value lines, or as the nested JSON of their platform, which is flattened to the same paths.
+package settings
 
 import (
 	"fmt"
@@ -14,9 +16,8 @@
 	bad []string
 }
 
-// ParseSettings reads path=value lines. Unknown keys are skipped; values that can't be used are
-// named in bad and count as absent.
-func ParseSettings(text string) (s policy.Settings, bad []string) {
+// Parse reads path=value lines. Unknown keys are skipped; values that can't be used are named in bad and count as absent.
+func Parse(text string) (s policy.Settings, bad []string) {
 	p := &pairs{m: map[string]string{}}
 	for _, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
@@ -30,6 +31,10 @@
 		}
 		p.m[k] = v
 	}
+	return p.read(), p.bad
+}
+
+func (p *pairs) read() (s policy.Settings) {
 	const fam, lim = "family-info.", "policy-limits."
 	s.Me, s.Fleet, s.Zone = p.count("me"), p.count("fleet-size"), p.count("zone")
 	s.OverShare = p.num("over-share-worth")
@@ -72,7 +77,7 @@
 	for i := 0; i < p.count("realms.count"); i++ {
 		s.Tenants = append(s.Tenants, policy.Tenant{PerSecond: p.num("realms." + strconv.Itoa(i) + ".quota-rps")})
 	}
-	return s, p.bad
+	return s
 }
 
 // maxCount bounds how many items a settings list may claim to have.
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"tealledge/internal/settings"
 	"tealledge/policy"
 )
 
@@ -45,13 +46,13 @@
 	}()
 	switch ev := h.Event.(type) {
 	case Start:
-		settings, bad := ParseSettings(ev.Settings)
+		set, bad := settings.Parse(ev.Settings)
 		for _, text := range bad {
 			if err := reply.Add(h.Front, policy.Log{Text: "settings: " + text}); err != nil {
 				return err
 			}
 		}
-		fronts[h.Front] = policy.New(settings, ev.Seed)
+		fronts[h.Front] = policy.New(set, ev.Seed)
 		return nil
 	case Stop:
 		delete(fronts, h.Front)
