Ids used a moment ago are not taken anew; gone servers are not dialled in a loop

Cause: of several requests under one id in one batch the second gave the first up, so that the third looked free while its set-up was still out (viewers.go, open); and a session doomed at a server that has left was redialled each 250 ms for a minute (servers.go, DialFailed). Ruled out: ids of usual clients, none was involved.

--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -35,7 +35,8 @@
 const (
 	stuckFor   = 400 * policy.Millisecond // a message that stays half this long will never be whole
 	quietFor   = 3 * policy.Second        // sessions stand and nothing is heard: does the machine answer a connect?
-	redialGap  = 250 * policy.Millisecond // between connects that fail
+	redialGap  = 250 * policy.Millisecond // between connects that fail, doubled with each
+	redialMost = 4 * policy.Second
 	refusals   = 2                        // connects refused in a row prove that the process is gone
 	silences   = 4                        // connects unanswered in a row tell of a machine that is gone
 	leaveBy    = 1 * policy.Second        // a session told to move is released at its server by then
@@ -464,7 +465,7 @@
 	if l == nil || l.dialing != conn {
 		return
 	}
-	l.dialing, l.dialAt = 0, now+redialGap
+	l.dialing = 0
 	if refused {
 		d.Stats.Refused++
 		l.refused, l.silent = l.refused+1, 0
@@ -472,6 +473,7 @@
 		d.Stats.Unanswered++
 		l.silent, l.refused = l.silent+1, 0
 	}
+	l.dialAt = now + min(redialGap<<min(max(l.refused, l.silent, silences)-silences, 8), redialMost)
 	d.fail(l, fate.DialRefused)
 	if l.probing {
 		l.probing = false
@@ -742,6 +744,9 @@
 	if len(l.live) > 0 && l.cur != nil && d.now-l.cur.readAt >= quietFor {
 		d.dial(l, false)
 	}
+	if l.gone && len(l.live) == 0 { // nothing is to be released at a process that has left
+		clear(l.doomed)
+	}
 	if l.gone && len(l.live) == 0 && len(l.waiting) == 0 && len(l.doomed) == 0 && len(l.leaving) == 0 && l.dialing == 0 && !l.probing {
 		open := 0
 		for _, k := range l.links {
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -297,8 +297,10 @@
 
 // open takes a set-up.
 func (d *Desk) open(c *client, read Time, l wire.Line, busy func(uint64) bool) {
-	if s := d.sessions[l.Sid]; s != nil || busy(l.Sid) {
+	s := d.sessions[l.Sid]
+	if _, used := d.recent[l.Sid]; s != nil || used || busy(l.Sid) {
 		// Two requests under one id: neither can be told from the other on this connection. Elsewhere the first stays.
+		// An id that was in use a moment ago may still be at a server.
 		d.Stats.BadAsks++
 		if s != nil && s.conn == c.id && c.open[l.Sid] {
 			d.over(l.Sid)
