--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	c.ln = ln
-	if c.loop, err = netpoll.NewEventLoop(c.request, netpoll.WithOnConnect(c.connect), netpoll.WithOnDisconnect(c.disconnect)); err != nil {
+	if c.loop, err = netpoll.NewEventLoop(c.request, netpoll.WithOnConnect(c.connect)); err != nil {
 		ln.Close()
 		return nil, err
 	}
@@ -68,20 +68,19 @@
 	c.mu.Lock()
 	c.conns[k.id] = k
 	c.mu.Unlock()
-	c.events.accepted(k.id)                              // before any left
-	nc.AddCloseCallback(func(netpoll.Connection) error { // also when this side closes
+	c.events.accepted(k.id)                                 // before any left
+	nc.AddCloseCallback(func(nc netpoll.Connection) error { // also when this side closes
+		// Danger: what came together with the end of the connection is left unread, and a session that its viewer ended
+		// with its last words would play on. The reader is not running now: netpoll calls this after it.
+		if nc.Reader().Len() > 0 {
+			c.read(k, nc)
+		}
 		c.leave(k)
 		return nil
 	})
 	return context.WithValue(ctx, clientKey{}, k)
 }
 
-func (c *clients) disconnect(ctx context.Context, _ netpoll.Connection) {
-	if k, _ := ctx.Value(clientKey{}).(*client); k != nil {
-		c.leave(k)
-	}
-}
-
 func (c *clients) leave(k *client) {
 	if k.gone.Swap(true) {
 		return
@@ -95,6 +94,10 @@
 
 func (c *clients) request(ctx context.Context, nc netpoll.Connection) error {
 	k, _ := ctx.Value(clientKey{}).(*client)
+	return c.read(k, nc)
+}
+
+func (c *clients) read(k *client, nc netpoll.Connection) error {
 	r := nc.Reader()
 	n := r.Len()
 	if k == nil || k.deaf.Load() {
--- a/internal/platform/node/links.go
+++ b/internal/platform/node/links.go
@@ -61,7 +61,7 @@
 	}
 	tune(c)
 	p := pipe.New(c, linkBytes, l.write)
-	c.SetOnRequest(func(_ context.Context, c netpoll.Connection) error {
+	read := func(c netpoll.Connection) error {
 		b, err := c.Reader().Next(c.Reader().Len())
 		if err != nil {
 			return err
@@ -70,7 +70,7 @@
 		c.Reader().Release()
 		l.events.received(conn, out)
 		return nil
-	})
+	}
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -79,14 +79,23 @@
 	}
 	l.pipes[conn] = p
 	l.mu.Unlock()
-	l.events.connected(conn) // before any lost
+	l.events.connected(conn) // before any lost, and any received
 	gone := sync.OnceFunc(func() {
 		l.mu.Lock()
 		delete(l.pipes, conn)
 		l.mu.Unlock()
 		l.events.lost(conn, p.Stop())
 	})
-	c.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil })
+	c.AddCloseCallback(func(c netpoll.Connection) error {
+		// Danger: what came together with the end of the connection is left unread: an answer, or the word that a set-up
+		// never ran. Nothing else reads now: netpoll calls this after the reader.
+		if c.Reader().Len() > 0 {
+			read(c)
+		}
+		gone()
+		return nil
+	})
+	c.SetOnRequest(func(_ context.Context, c netpoll.Connection) error { return read(c) })
 	if !c.IsActive() { // it closed before the callback was set
 		gone()
 	}
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -37,10 +37,10 @@
 	quietFor   = 3 * policy.Second        // sessions stand and nothing is heard: does the machine answer a connect?
 	redialGap  = 250 * policy.Millisecond // between connects that fail, doubled with each
 	redialMost = 4 * policy.Second
-	refusals   = 2                        // connects refused in a row prove that the process is gone
-	silences   = 4                        // connects unanswered in a row tell of a machine that is gone
-	leaveBy    = 1 * policy.Second        // a session told to move is released at its server by then
-	rememberIt = 10 * policy.Second       // set-ups given up on: a late answer is released
+	refusals   = 2                  // connects refused in a row prove that the process is gone
+	silences   = 4                  // connects unanswered in a row tell of a machine that is gone
+	leaveBy    = 1 * policy.Second  // a session told to move is released at its server by then
+	rememberIt = 10 * policy.Second // set-ups given up on: a late answer is released
 	doomedFor  = 60 * policy.Second
 	doomedMost = 4096
 )
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -261,6 +261,10 @@
 	}
 	s.playing, s.started, s.changed = true, f.now, f.now
 	f.proved(s.at)
+	for _, v := range s.erred { // another server could: it was theirs
+		f.erring(v)
+	}
+	s.erred = nil
 	if s.at.trial == s {
 		s.at.trial = nil
 	}
@@ -285,8 +289,13 @@
 	}
 	switch e.Status {
 	case Errored:
-		s.unsure = true
-		f.failing(v, 1+v.bad.sum(f.now, tallyWindow) >= errorsTrip)
+		// Danger: requests that no server can serve, sent by the hundred, would close every server to all others. So an
+		// error counts once another server has served the request. Harm: a server that errs is found that much later.
+		if s.unsure = true; f.class(s).Paid || v.failed {
+			f.erring(v) // nobody else will be asked, or it is on trial
+		} else {
+			s.erred = append(s.erred, v)
+		}
 	case ResetConn, TimedOut, NoConnect:
 		s.unsure = s.unsure || e.Status != NoConnect
 		f.failing(v, true)
@@ -321,6 +330,9 @@
 	v.failed = true
 }
 
+// erring books an error; a few open the breaker.
+func (f *Front) erring(v *server) { f.failing(v, 1+v.bad.sum(f.now, tallyWindow) >= errorsTrip) }
+
 // proved books a success: the breaker closes. A server that was seen failing may have restarted, cold.
 func (f *Front) proved(v *server) {
 	if v.failed {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1296,3 +1296,41 @@
 		t.Error("an ask that names none is not placed by its cells")
 	}
 }
+
+// Bad clients send by the hundred what every server answers with an error; that says nothing of the servers.
+func TestErrorsThatFollowTheRequestAreNotTheServers(t *testing.T) {
+	w := newWorld(t, settings())
+	w.useAll(0.1)
+	for id := uint64(1); id <= 20; id++ {
+		s := one[Send](t, w.do(Request{w.ask(id, 0)}))
+		for attempt := 0; attempt < w.f.set.MaxAttempts; attempt++ {
+			if next := of[Send](w.end(id, attempt, s.Server, Errored)); len(next) > 0 {
+				s = next[0]
+			}
+		}
+		w.now += 50 * Millisecond
+	}
+	for _, v := range w.f.fleet.order {
+		if v.failed || v.openUntil > w.now || v.bad.sum(w.now, tallyWindow) > 0 {
+			t.Errorf("server %d is held guilty: %+v", v.Server, v)
+		}
+	}
+	// Another server serves what two got an error for at the first: that one is at fault.
+	bad := uint32(0)
+	for id := uint64(100); id < 130 && (bad == 0 || !w.f.fleet.get(bad).failed); id++ {
+		s := one[Send](t, w.do(Request{w.ask(id, 0)}))
+		if bad == 0 {
+			bad = s.Server
+		}
+		attempt := 0
+		if s.Server == bad {
+			s = one[Send](t, w.end(id, 0, bad, Errored))
+			attempt = 1
+		}
+		w.do(Playing{ID: id, Attempt: attempt, Server: s.Server})
+		w.now += 50 * Millisecond
+	}
+	if v := w.f.fleet.get(bad); !v.failed || v.openUntil < w.now-Second {
+		t.Errorf("a server that errs is not found: %+v", v)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -134,6 +134,7 @@
 	list     []*server
 	despite  bool // the list is of servers whose breaker is open, as no other holder was left
 	tried    []*server
+	erred    []*server // of these, those whose error is not held against them yet
 	moved    bool
 	from     *server // the server that a move took it off
 }
