--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -80,6 +80,7 @@
 // Stats counts what happened to connections.
 type Stats struct {
 	Dialed, Refused, Unanswered, Lost, Spoilt, Stuck, Late, Again uint64
+	Tests, Reports, Shorts                                        uint64 // tests sent, reports read, notes of short delivery
 }
 
 // line is the dialogue with one server.
@@ -393,8 +394,9 @@
 
 func (d *Desk) test(l *line) {
 	d.tests++
+	d.Stats.Tests++
 	l.cur.tests[d.tests] = d.now
-	d.push(l, l.cur, (&wire.Message{Type: wire.Test, Session: d.tests}).AddCause(0))
+	d.push(l, l.cur, (&wire.Message{Type: wire.Test, Session: d.tests}).AddCause(wire.CauseReport))
 }
 
 // Adopt takes over a session that plays at a server already.
@@ -626,7 +628,11 @@
 
 func (d *Desk) report(m *wire.Message) []float64 {
 	v, _ := m.Get(wire.ParamReport)
-	return wire.Report(string(v), d.cfg.Fields)
+	report := wire.Report(string(v), d.cfg.Fields)
+	if report != nil {
+		d.Stats.Reports++
+	}
+	return report
 }
 
 func (d *Desk) answered(l *line, k *link, m *wire.Message) error {
@@ -692,6 +698,9 @@
 	kind, ok := notes[string(name)]
 	value, fine := wire.Figure(string(figure))
 	if ok && fine {
+		if kind == policy.NoteShare {
+			d.Stats.Shorts++
+		}
 		d.news = append(d.news, front.Note{Session: m.Session, Attempt: a.setup.Attempt, Kind: kind, Value: value})
 	}
 }
--- a/internal/platform/servers/servers_test.go
+++ b/internal/platform/servers/servers_test.go
@@ -429,7 +429,7 @@
 	r.do(front.Probe{Server: 1})
 	conn := r.up()
 	m := r.wrote[conn][0]
-	if cause, ok := m.Cause(); m.Type != wire.Test || !ok || cause != 0 {
+	if cause, ok := m.Cause(); m.Type != wire.Test || !ok || cause != wire.CauseReport { // with 0 it brings no report
 		t.Fatalf("%+v", m)
 	}
 	r.now += 20 * ms
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -50,6 +50,7 @@
 
 // Causes.
 const (
+	CauseReport    = 1  // of a test: its answer carries a report; with 0 it only tells that the process answers
 	CauseGivenUp   = 16 // before the answer; after it the session's end
 	CauseCancelled = 31
 	CauseFull      = 34 // never ran
--- a/internal/standin/platformsim/platformsim.go
+++ b/internal/standin/platformsim/platformsim.go
@@ -248,7 +248,11 @@
 		s.w.add(e)
 	case wire.Test:
 		if !s.faults.Hang {
-			write(c, (&wire.Message{Type: wire.Tested, Session: m.Session}).AddCause(1).Add(wire.ParamReport, "x0:0.2;x1:0.2"))
+			tested := (&wire.Message{Type: wire.Tested, Session: m.Session}).AddCause(1)
+			if cause, _ := m.Cause(); cause == wire.CauseReport {
+				tested.Add(wire.ParamReport, "x0:0.2;x1:0.2")
+			}
+			write(c, tested)
 		}
 	}
 }
