--- a/policy/policy.go
+++ b/policy/policy.go
@@ -289,8 +289,9 @@
 	}
 	switch e.Status {
 	case Errored:
-		// Danger: requests that no server can serve, sent by the hundred, would close every server to all others. So an
-		// error counts once another server has served the request. Harm: a server that errs is found that much later.
+		// Danger: requests that no server can serve, sent by the hundred, would close every server to all
+		// others. So an error counts once another server has served the request. Harm: a server that errs is
+		// found that much later.
 		if s.unsure = true; f.class(s).Paid || v.failed {
 			f.erring(v) // nobody else will be asked, or it is on trial
 		} else {
