--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -292,7 +292,9 @@
 		}
 		for _, e := range l.Entries {
 			wasReady := was[e.Server]
-			c.ready[e.Server] = e.Health == policy.Ready
+			if c.ready[e.Server] = e.Health == policy.Ready; e.Health == policy.Removed {
+				delete(c.ready, e.Server) // servers come and go for as long as a front lives
+			}
 			if e.Health != policy.Ready && wasReady {
 				c.do(Withdraw{e.Server})
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1334,3 +1334,25 @@
 		t.Errorf("a server that errs is not found: %+v", v)
 	}
 }
+
+func TestServersThatLeftAreForgottenOnceNothingPlaysThere(t *testing.T) {
+	w := newWorld(t, settings())
+	at := w.place(1, 0)
+	for id := uint32(10); id < 60; id++ {
+		e := entry(id)
+		w.do(List{Kind: ListDelta, Entries: []Entry{e}})
+		e.Health = Removed
+		w.do(List{Kind: ListDelta, Entries: []Entry{e}})
+	}
+	e := entry(at)
+	e.Health = Removed
+	w.do(List{Kind: ListDelta, Entries: []Entry{e}})
+	if n := len(w.f.fleet.order); n != 4 || len(w.f.fleet.byID) != 4 { // the one with a session is kept
+		t.Errorf("%d servers are kept", n)
+	}
+	w.end(1, 0, at, OK)
+	w.do(List{Kind: ListDelta})
+	if n := len(w.f.fleet.order); n != 3 || w.f.fleet.get(at) != nil {
+		t.Errorf("%d servers are kept", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -414,8 +414,17 @@
 	return v, restarted
 }
 
-// shelve sorts the servers into their racks: those on the list, and those gone that own sessions still play on.
+// shelve sorts the servers into their racks: those on the list, and those gone that own sessions still play on. Others
+// that are gone are forgotten: a front that lives long sees many.
 func (f *Front) shelve() {
+	f.fleet.order = slices.DeleteFunc(f.fleet.order, func(v *server) bool {
+		gone := v.Health == Removed && len(v.held) == 0
+		if gone {
+			delete(f.fleet.byID, v.Server)
+			f.fleet.byCell[f.cell(v.Entry)] = remove(f.fleet.byCell[f.cell(v.Entry)], v)
+		}
+		return gone
+	})
 	for _, k := range f.racks {
 		k.parts = k.parts[:0]
 	}
