--- /dev/null
+++ b/cmd/tealledge/platform_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const platformSettings = `{"family-info":{"level-kb":[100,200],"level-worth":[0.5,1],"positions":1,"shelves":1},
+"request-classes":[{"name":"safe","effect":"safe","importance":1,"slo-ns":1000000000,"deadline-ns":2000000000}]}`
+
+// The program itself, as the platform starts and signals it.
+func TestThePlatformsSignals(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "tealledge")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v %s", err, out)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	run := func() (*exec.Cmd, *bytes.Buffer) {
+		var log bytes.Buffer
+		c := exec.Command(bin, "platform")
+		c.Env = append(os.Environ(), "NODE_CONFIG="+path, "NODE_NAME=n0", "NODE_LISTEN="+addr)
+		c.Stderr, c.Stdout = &log, &log
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return c, &log
+	}
+	write("{")
+	c, log := run()
+	if err := c.Wait(); err == nil || strings.Count(strings.TrimSpace(log.String()), "\n") != 0 {
+		t.Errorf("a file that can't be used: %v %q", err, log.String())
+	}
+	good := fmt.Sprintf(`{"name":"n0","listen":"%s","seed":"01","limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"pos":0,"entries":[]},"settings":%s}`, addr, platformSettings)
+	write(good)
+	c, log = run()
+	defer c.Process.Kill()
+	tested := func() bool {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		fmt.Fprintln(conn, `{"msg":"probe","sid":"0000000000000001","attrs":{},"code":0}`)
+		conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		b := make([]byte, 256)
+		n, _ := conn.Read(b)
+		return strings.Contains(string(b[:n]), `"probed"`)
+	}
+	for end := time.Now().Add(10 * time.Second); !tested(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.Process.Kill()
+			c.Wait()
+			t.Fatalf("never ready: %s", log.String())
+		}
+	}
+	write("{")
+	c.Process.Signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	write(good)
+	c.Process.Signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	if !tested() {
+		t.Error("gone at SIGHUP")
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	time.Sleep(300 * time.Millisecond)
+	if !tested() {
+		t.Error("SIGTERM closed the door at once")
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("%v: %s", err, log.String())
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("it stays")
+	}
+	if text := log.String(); !strings.Contains(text, "not taken") || !strings.Contains(text, "read again") {
+		t.Error(text)
+	}
+}
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -161,7 +161,7 @@
 type clientSink struct{ n *Node }
 
 func (k clientSink) accepted(conn uint64) { k.n.queue.Force(accepted{conn}) }
-func (k clientSink) left(conn uint64)     { k.n.queue.Put(admit.News, left{conn}) }
+func (k clientSink) left(conn uint64)     { k.n.queue.Force(left{conn}) }
 func (k clientSink) said(conn uint64, list []viewers.In, broken error, partial bool) {
 	// Lines of one connection keep their order: a request and the word that it is given up must not change places.
 	k.n.queue.Put(admit.News, said{conn, k.n.now(), list, broken, partial})
@@ -398,8 +398,8 @@
 	}
 }
 
-// listed passes an event of the journal on: to the core first, which takes back what was not sent to a server that
-// drains before its connection is touched.
+// listed passes an event of the journal on: to the servers' desk first, for the core may send to a new server at once.
+// What waits for a server that drains is taken back by the core's Withdraw, in the same turn.
 func (n *Node) listed(e wire.Event) {
 	now := n.now()
 	kind := policy.ListDelta
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -488,7 +488,7 @@
 	count := func() int {
 		list, err := os.ReadDir("/proc/self/fd")
 		if err != nil {
-			t.Skip("no /proc")
+			t.Fatal(err)
 		}
 		return len(list)
 	}
--- a/internal/platform/viewers/viewers_test.go
+++ b/internal/platform/viewers/viewers_test.go
@@ -348,6 +348,26 @@
 	}
 }
 
+func TestASetUpThatCrossesAClose(t *testing.T) {
+	r := newRig(t)
+	r.stands(1, 5)
+	r.do(front.Over{Session: 5, Why: front.WhyEnd})
+	r.pass(6100 * ms) // idle: closed
+	if !r.closed[1] {
+		t.Fatal("not closed")
+	}
+	r.says(1, open(6, usual)) // it was under way
+	if len(r.news) != 0 {
+		t.Fatal("begun on a connection that is closed:", r.news)
+	}
+	r.d.Lost(r.now, 1)
+	r.accept(2)
+	r.says(2, open(6, usual)) // sent again, once, on a new one
+	if len(r.news) != 1 || len(r.wrote[2]) != 0 {
+		t.Errorf("%+v %+v", r.news, r.wrote[2])
+	}
+}
+
 func TestNothingIsLeftOver(t *testing.T) {
 	r := newRig(t)
 	for i := range uint64(2000) {
