A server at its connection limit is not taken for dead; give-ups only where the request came

Found by reading the change. (1) servers.go, DialFailed: two refused connects ended all sessions of a server, though servers refuse at their connection limit too; while a connection stands the process does. What is ended for lost is also told to the server once it can be reached. (2) viewers.go, line: a close on any connection gave up a request that was open on another; only sessions that stand belong to no connection. State that was there twice is gone: counters beside their statistics, numbers taken beside names, a fault count that nobody read. Tests: refusals while a connection stands, a request taken back by somebody else; both fail on the code before.

--- a/internal/platform/journal/journal.go
+++ b/internal/platform/journal/journal.go
@@ -174,7 +174,7 @@
 	case f.up && now-f.heardAt >= quietFor:
 		f.Stats.Silences++
 		f.again(now)
-	case !f.up && !f.dialing && now >= f.nextAt:
+	case !f.up && !f.dialing && now >= f.nextAt && f.addr != "":
 		f.conn++
 		f.dialing = true
 		f.Stats.Dials++
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -58,7 +58,6 @@
 	hosts   hosts
 	owners  map[uint64]uint32 // of connections to servers, by connection
 	leaving front.Time        // SIGTERM came then; 0: it did not
-	faults  uint64
 	done    chan struct{}
 }
 
@@ -380,7 +379,6 @@
 		case front.Log:
 			n.log.Info().Str("from", "module").Msg(e.Text)
 		case front.Fault:
-			n.faults++
 			n.log.Error().Msg("fault: " + e.Text)
 		case front.Follow: // the journal is followed all the time
 		case front.Plays:
@@ -473,16 +471,16 @@
 
 // ---- Names of the list ----
 
-// hosts gives servers the module's numbers, and forgets those that left the list.
+// hosts gives servers the module's numbers, and forgets those that left the list. Numbers that are counted are not given
+// twice.
 type hosts struct {
 	zones, kinds map[string]int
 	byName       map[string]uint32
-	taken        map[uint32]bool
 	next         uint32
 }
 
 func newHosts(zones, kinds []string) hosts {
-	h := hosts{zones: map[string]int{}, kinds: map[string]int{}, byName: map[string]uint32{}, taken: map[uint32]bool{}}
+	h := hosts{zones: map[string]int{}, kinds: map[string]int{}, byName: map[string]uint32{}}
 	for i, z := range zones {
 		h.zones[z] = i
 	}
@@ -510,11 +508,11 @@
 			id = uint32(v)
 		}
 	}
-	for id == 0 || h.taken[id] {
+	for id == 0 || slices.Contains(slices.Collect(maps.Values(h.byName)), id) {
 		h.next++
 		id = h.next
 	}
-	h.byName[name], h.taken[id] = id, true
+	h.byName[name] = id
 	return id
 }
 
@@ -542,26 +540,20 @@
 		list = append(list, servers.Server{ID: id, Addr: x.Dial, Started: entry.Started, Drains: entry.Health != policy.Ready,
 			Gone: entry.Health == policy.Removed})
 		if entry.Health == policy.Removed {
-			h.forget(x.Name)
+			delete(h.byName, x.Name)
 		}
 	}
 	if e.Whole {
 		for _, name := range sortedNames(h.byName) {
 			if !named[name] {
 				list = append(list, servers.Server{ID: h.byName[name], Drains: true, Gone: true})
-				h.forget(name)
+				delete(h.byName, name)
 			}
 		}
 	}
 	return entries, list, bad
 }
 
-// forget drops a name. Its number is not given again to another name while this front runs, unless that ends in it.
-func (h *hosts) forget(name string) {
-	delete(h.taken, h.byName[name])
-	delete(h.byName, name)
-}
-
 // Limits tells the run time what it may use.
 func (c *Config) Limits() (procs int, memory int64) {
 	procs = max(int(c.Cores+0.5), 1)
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -69,15 +69,13 @@
 	cfg      Config
 	now      Time
 	lines    map[uint32]*line
-	conns    uint64
-	tests    uint64
 	attempts map[uint64]*attempt // by session: waiting, out or playing
 	acts     []Act
 	news     []front.Event
 	Stats    Stats
 }
 
-// Stats counts what happened to connections.
+// Stats counts what happened to connections; connections and tests are named by their counts.
 type Stats struct {
 	Dialed, Refused, Unanswered, Lost, Spoilt, Stuck, Late, Again uint64
 	Tests, Reports, Shorts                                        uint64 // tests sent, reports read, notes of short delivery
@@ -121,14 +119,14 @@
 
 // attempt is one set-up and the session that it starts.
 type attempt struct {
-	setup      front.Setup
-	at         Time
-	link       *link // that it was written to
-	begin, end uint64
-	again      bool // it was written to a connection that ended before it left
-	playing    bool
-	over       bool
-	rungDue    bool // a rung could not be told yet
+	setup   front.Setup
+	at      Time
+	link    *link  // that it was written to
+	end     uint64 // of its bytes on that connection
+	again   bool   // it was written to a connection that ended before it left
+	playing bool
+	over    bool
+	rungDue bool // a rung could not be told yet
 }
 
 // New makes a desk that knows no servers.
@@ -162,7 +160,7 @@
 			l.started = s.Started
 			for _, id := range sorted(l.live) {
 				if a := l.live[id]; a.at < s.Started {
-					d.finish(a, policy.ResetConn, nil)
+					d.end(a, policy.ResetConn, nil)
 				}
 			}
 			for _, id := range sorted(l.links) {
@@ -242,12 +240,11 @@
 	m.Add(wire.ParamWithin, strconv.FormatInt(within, 10)).Add(wire.ParamTitle, e.Name).
 		Add(wire.ParamRung, strconv.Itoa(e.Rung)).Add(wire.ParamText, e.Text)
 	k := l.cur
-	begin := k.sent
 	if !d.push(l, k, m) {
 		d.end(a, policy.Moot, nil)
 		return
 	}
-	a.link, a.begin, a.end = k, begin, k.sent
+	a.link, a.end = k, k.sent
 	k.out[e.Session] = a
 }
 
@@ -272,9 +269,6 @@
 		Took: d.now - a.at, Report: report})
 }
 
-// finish ends a session that played.
-func (d *Desk) finish(a *attempt, status policy.Status, report []float64) { d.end(a, status, report) }
-
 func (d *Desk) forget(a *attempt) {
 	a.over = true
 	id := a.setup.Session
@@ -393,10 +387,9 @@
 }
 
 func (d *Desk) test(l *line) {
-	d.tests++
 	d.Stats.Tests++
-	l.cur.tests[d.tests] = d.now
-	d.push(l, l.cur, (&wire.Message{Type: wire.Test, Session: d.tests}).AddCause(wire.CauseReport))
+	l.cur.tests[d.Stats.Tests] = d.now
+	d.push(l, l.cur, (&wire.Message{Type: wire.Test, Session: d.Stats.Tests}).AddCause(wire.CauseReport))
 }
 
 // Adopt takes over a session that plays at a server already.
@@ -419,9 +412,8 @@
 	if l.dialing != 0 || !now && d.now < l.dialAt {
 		return
 	}
-	d.conns++
-	l.dialing = d.conns
 	d.Stats.Dialed++
+	l.dialing = d.Stats.Dialed
 	d.acts = append(d.acts, Act{Server: l.server, Conn: l.dialing, Dial: l.addr, Within: d.cfg.Connect})
 }
 
@@ -481,17 +473,19 @@
 		l.probing = false
 		d.news = append(d.news, front.Probed{Server: server, Status: policy.NoConnect, Took: now - l.probeAt})
 	}
-	if l.refused >= refusals || l.silent >= silences {
+	// A server refuses connects at its limit too: while another connection stands, its process does, for the end of a
+	// process resets them all.
+	if l.refused >= refusals && len(l.links) == 0 || l.silent >= silences {
 		d.dead(l)
 	}
 }
 
-// dead ends what a server played: its process is gone, or its machine.
+// dead ends what a server played: its process is gone, or its machine. Should it play on after all, for nobody, it is
+// told to end that as soon as a connection stands.
 func (d *Desk) dead(l *line) {
 	for _, id := range sorted(l.live) {
-		a := l.live[id]
-		d.finish(a, policy.ResetConn, nil)
-		if l.refused == 0 && len(l.doomed) < doomedMost { // only cut off, it plays on for nobody
+		d.end(l.live[id], policy.ResetConn, nil)
+		if len(l.doomed) < doomedMost {
 			l.doomed[id] = d.now + doomedFor
 		}
 	}
@@ -553,7 +547,7 @@
 	}
 	if len(l.live) > 0 && d.taken(l) { // at its address is another server, which knows nothing of them
 		for _, id := range sorted(l.live) {
-			d.finish(l.live[id], policy.ResetConn, nil)
+			d.end(l.live[id], policy.ResetConn, nil)
 		}
 	}
 	d.wanted(l)
--- a/internal/platform/servers/servers_test.go
+++ b/internal/platform/servers/servers_test.go
@@ -343,8 +343,20 @@
 	r.pass(redialGap + 50*ms)
 	r.fails(true)
 	r.ended(5, policy.ResetConn)
+	r.pass(policy.Second)
+	r.wroteTypes(r.up(), wire.Release) // it was only full of connections: it does not play on for nobody
 	r.empty()
 
+	r = newRig(t) // it refuses at its limit, and a connection to it stands
+	r.plays(5)
+	for range 4 {
+		r.pass(quietFor + 50*ms)
+		r.fails(true)
+	}
+	if len(r.news) != 0 || len(r.d.attempts) != 1 {
+		t.Errorf("taken for dead: %+v", r.news)
+	}
+
 	r = newRig(t)
 	conn = r.plays(5)
 	began := r.now
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -275,7 +275,9 @@
 	case wire.LineClose:
 		s := d.sessions[l.Sid]
 		_, recently := d.recent[l.Sid]
-		if s == nil && !recently {
+		// A session that stands is ended on any connection; a request is given up where it came. Danger: somebody else's
+		// word would take a request from a viewer that still waits for its answer.
+		if s == nil && !recently || s != nil && !s.standing && s.conn != c.id {
 			d.bad(c, l.Sid, errors.New("no such session"))
 			return
 		}
--- a/internal/platform/viewers/viewers_test.go
+++ b/internal/platform/viewers/viewers_test.go
@@ -285,9 +285,14 @@
 	if len(r.news) != 1 || r.last(2).Code != wire.CauseBadForm || len(r.wrote[1]) != 0 {
 		t.Errorf("%+v %+v", r.news, r.last(2))
 	}
+	r.news = nil
+	r.says(2, open(5, usual), shut(5)) // nor is it taken back by others
+	if len(r.news) != 0 {
+		t.Errorf("%+v", r.news)
+	}
 	r.busy[9] = true // a set-up of it is still being taken back
 	r.says(1, open(9, usual))
-	if len(r.news) != 1 {
+	if len(r.news) != 0 {
 		t.Errorf("%+v", r.news)
 	}
 }
