Links of media and platform are one, read to their end; a refused connect is seen as one

Seen while reading the change: internal/platform/node wrote internal/media's links again, and the fix for lost last words stood only there. Checked in netpoll's code and with TestLastWordsAreRead: the cause given before was wrong. netpoll runs the reader before its close callback; lost were words behind OnDisconnect, which comes before the reader (players.go had it too), and those of dialled connections that end before their reader is set, which also kept their descriptors. internal/pipe.Links now serves both, and players use OnEnd.

A probe of netpoll.DialConnection on a closed port gave 'closed by peer', not ECONNREFUSED, so a dead process counted as a machine that answers nothing. DialTCP asks the standard library for the reason. Ruled out: netpoll.NewFDConnection, which panics when a write times out (found by TestPeersThatTakeNothing).

--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -33,7 +33,6 @@
 type client struct {
 	id   uint64
 	pipe *pipe.Pipe
-	gone atomic.Bool
 	deaf atomic.Bool // it is being closed: what it still sends is read and dropped
 	mu   sync.Mutex
 	cut  *wire.Splitter
@@ -63,28 +62,17 @@
 }
 
 func (c *clients) connect(ctx context.Context, nc netpoll.Connection) context.Context {
-	tune(nc)
+	pipe.Tune(nc)
 	k := &client{id: c.last.Add(1), pipe: pipe.New(nc, clientBytes, clientWrite), cut: wire.NewSplitter(wire.MaxMessage)}
 	c.mu.Lock()
 	c.conns[k.id] = k
 	c.mu.Unlock()
-	c.events.accepted(k.id)                                 // before any left
-	nc.AddCloseCallback(func(nc netpoll.Connection) error { // also when this side closes
-		// Danger: what came together with the end of the connection is left unread, and a session that its viewer ended
-		// with its last words would play on. The reader is not running now: netpoll calls this after it.
-		if nc.Reader().Len() > 0 {
-			c.read(k, nc)
-		}
-		c.leave(k)
-		return nil
-	})
+	c.events.accepted(k.id) // before any left
+	pipe.OnEnd(nc, func() { c.leave(k) })
 	return context.WithValue(ctx, clientKey{}, k)
 }
 
 func (c *clients) leave(k *client) {
-	if k.gone.Swap(true) {
-		return
-	}
 	k.pipe.Stop()
 	c.mu.Lock()
 	delete(c.conns, k.id)
@@ -94,10 +82,6 @@
 
 func (c *clients) request(ctx context.Context, nc netpoll.Connection) error {
 	k, _ := ctx.Value(clientKey{}).(*client)
-	return c.read(k, nc)
-}
-
-func (c *clients) read(k *client, nc netpoll.Connection) error {
 	r := nc.Reader()
 	n := r.Len()
 	if k == nil || k.deaf.Load() {
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -1,21 +1,27 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"github.com/rs/zerolog"
 
 	"tealledge/decide/admit"
 	"tealledge/internal/front"
 	"tealledge/internal/inbox"
+	"tealledge/internal/pipe"
 	"tealledge/internal/platform/journal"
 	"tealledge/internal/platform/servers"
 	"tealledge/internal/platform/viewers"
@@ -39,6 +45,8 @@
 	statsEvery   = 10 * policy.Second
 	leaveAfter   = 1500 * policy.Millisecond // requests come for so long after SIGTERM, with room
 	leaveMost    = 60 * policy.Second
+	linkBytes    = 256 << 10              // that may wait on one connection to a server
+	linkWrite    = 100 * time.Millisecond // a peer that takes nothing for so long loses its connection
 )
 
 // Node is one front.
@@ -51,8 +59,8 @@
 	servers *servers.Desk
 	viewers *viewers.Desk
 	follow  *journal.Follower
-	links   *links
-	feed    *links
+	links   *pipe.Links // to servers
+	feed    *pipe.Links // to the journal service
 	clients *clients
 	queue   *inbox.Queue
 	hosts   hosts
@@ -80,7 +88,7 @@
 	n.viewers = viewers.New(viewers.Config{Settings: cfg.Settings, Classes: cfg.Names.Classes, Host: n.hosts.number, ConnsMost: conns,
 		OpenMost: openMost, Silent: silentMost, Half: halfMost, Idle: idleMost})
 	n.follow = journal.New(cfg.Journal, cfg.Pos, rand.Float64)
-	n.links, n.feed = newLinks(serverSink{n}), newLinks(feedSink{n})
+	n.links, n.feed = pipe.NewLinks(linkBytes, linkWrite), pipe.NewLinks(linkBytes, linkWrite)
 	for _, e := range cfg.Known {
 		n.listed(e)
 	}
@@ -113,8 +121,8 @@
 	defer cancel()
 	n.queue.Close()
 	n.clients.close(end)
-	n.links.close()
-	n.feed.close()
+	n.links.Close()
+	n.feed.Close()
 	return <-served
 }
 
@@ -138,19 +146,20 @@
 	left       struct{ conn uint64 }
 	connected  struct{ conn uint64 }
 	dialFailed struct {
-		conn    uint64
-		refused bool
+		conn uint64
+		why  servers.Failure
 	}
 	received struct {
 		conn uint64
 		b    []byte
 	}
-	lost      struct{ conn, begun uint64 }
-	feedUp    struct{ conn uint64 }
-	feedLost  struct{ conn uint64 }
-	feedBytes struct {
-		conn uint64
-		b    []byte
+	lost     struct{ conn, begun uint64 }
+	feedUp   struct{ conn uint64 }
+	feedLost struct{ conn uint64 }
+	feedSaid struct {
+		conn   uint64
+		lines  [][]byte
+		broken error
 	}
 	reload  struct{}
 	leave   struct{}
@@ -166,22 +175,51 @@
 	k.n.queue.Put(admit.News, said{conn, k.n.now(), list, broken, partial})
 }
 
-type serverSink struct{ n *Node }
+// dial opens a connection to a server.
+func (n *Node) dial(conn uint64, addr string, within time.Duration) {
+	n.links.Dial(conn, connect(addr, within), pipe.Handler{
+		Connected: func() { n.queue.Force(connected{conn}) },
+		Failed:    func(err error) { n.queue.Force(dialFailed{conn, failure(err)}) },
+		Read:      func(b []byte) { n.queue.Put(admit.News, received{conn, bytes.Clone(b)}) },
+		Lost:      func(begun uint64) { n.queue.Force(lost{conn, begun}) }})
+}
 
-func (k serverSink) connected(conn uint64) { k.n.queue.Force(connected{conn}) }
-func (k serverSink) dialFailed(conn uint64, refused bool) {
-	k.n.queue.Force(dialFailed{conn, refused})
+// failure tells what a connect's error proves.
+func failure(err error) servers.Failure {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return servers.Refused
+	case errors.As(err, &timeout) && timeout.Timeout(), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return servers.Unanswered
+	}
+	return servers.Broke
 }
-func (k serverSink) received(conn uint64, b []byte) { k.n.queue.Put(admit.News, received{conn, b}) }
-func (k serverSink) lost(conn uint64, begun uint64) { k.n.queue.Force(lost{conn, begun}) }
 
-type feedSink struct{ n *Node }
+// tail opens a connection to the journal service.
+func (n *Node) tail(conn uint64, addr string, within time.Duration) {
+	cut := wire.NewSplitter(wire.MaxEvent)
+	n.feed.Dial(conn, connect(addr, within), pipe.Handler{
+		Connected: func() { n.queue.Force(feedUp{conn}) },
+		Failed:    func(error) { n.queue.Force(feedLost{conn}) },
+		Lost:      func(uint64) { n.queue.Force(feedLost{conn}) },
+		Read: func(b []byte) {
+			said := feedSaid{conn: conn}
+			cut.Feed(b)
+			for {
+				line, err := cut.Next()
+				if line == nil {
+					said.broken = err
+					break
+				}
+				said.lines = append(said.lines, bytes.Clone(line))
+			}
+			n.queue.Put(admit.News, said)
+		}})
+}
 
-func (k feedSink) connected(conn uint64)          { k.n.queue.Force(feedUp{conn}) }
-func (k feedSink) dialFailed(conn uint64, _ bool) { k.n.queue.Force(feedLost{conn}) }
-func (k feedSink) lost(conn uint64, _ uint64)     { k.n.queue.Force(feedLost{conn}) }
-func (k feedSink) received(conn uint64, b []byte) {
-	k.n.queue.Put(admit.News, feedBytes{conn, b})
+func connect(addr string, within time.Duration) func() (netpoll.Connection, error) {
+	return func() (netpoll.Connection, error) { return pipe.DialTCP(addr, within) }
 }
 
 // ---- The owner ----
@@ -194,7 +232,6 @@
 	var readUntil, tickAt, statsAt front.Time
 	last := n.now()
 	statsAt = last + statsEvery
-	var cut feedCut
 	for {
 		now := n.now()
 		if wait := admit.Standstill(now - last); wait > 0 {
@@ -204,7 +241,7 @@
 		last = now
 		batch, _ = n.queue.Take(batchMost, batch)
 		for _, item := range batch {
-			n.handle(item, &cut)
+			n.handle(item)
 		}
 		if now = n.now(); now < readUntil {
 			time.Sleep(time.Millisecond)
@@ -253,13 +290,7 @@
 	return n.core.Open() == 0 && n.core.Held() == 0 || now >= n.leaving+leaveMost
 }
 
-// feedCut cuts the journal's stream, anew for each connection.
-type feedCut struct {
-	conn uint64
-	cut  *wire.Splitter
-}
-
-func (n *Node) handle(item any, cut *feedCut) {
+func (n *Node) handle(item any) {
 	now := n.now()
 	switch e := item.(type) {
 	case accepted:
@@ -271,7 +302,7 @@
 	case connected:
 		n.servers.Connected(now, n.owners[e.conn], e.conn)
 	case dialFailed:
-		n.servers.DialFailed(now, n.owners[e.conn], e.conn, e.refused)
+		n.servers.DialFailed(now, n.owners[e.conn], e.conn, e.why)
 		delete(n.owners, e.conn)
 	case received:
 		n.servers.Received(now, n.owners[e.conn], e.conn, e.b)
@@ -282,22 +313,8 @@
 		n.follow.Connected(now, e.conn)
 	case feedLost:
 		n.follow.Lost(now, e.conn)
-	case feedBytes:
-		if cut.conn != e.conn || cut.cut == nil {
-			cut.conn, cut.cut = e.conn, wire.NewSplitter(wire.MaxEvent)
-		}
-		cut.cut.Feed(e.b)
-		for {
-			line, err := cut.cut.Next()
-			if line == nil && err == nil {
-				break
-			}
-			if err != nil {
-				n.follow.Received(now, e.conn, nil, err)
-				break
-			}
-			n.follow.Received(now, e.conn, [][]byte{line}, nil)
-		}
+	case feedSaid:
+		n.follow.Received(now, e.conn, e.lines, e.broken)
 	case reload:
 		n.reload(now)
 	case leave:
@@ -318,11 +335,11 @@
 		for _, a := range feed {
 			switch {
 			case a.Dial != "":
-				n.feed.dial(a.Conn, a.Dial, time.Duration(a.Within))
+				n.tail(a.Conn, a.Dial, time.Duration(a.Within))
 			case a.Close:
-				n.feed.shut(a.Conn)
+				n.feed.Shut(a.Conn)
 			default:
-				n.feed.send(a.Conn, a.Bytes)
+				n.feed.SendHere(a.Conn, a.Bytes)
 			}
 		}
 		for _, e := range events {
@@ -333,11 +350,11 @@
 			switch {
 			case a.Dial != "":
 				n.owners[a.Conn] = a.Server
-				n.links.dial(a.Conn, a.Dial, time.Duration(a.Within))
+				n.dial(a.Conn, a.Dial, time.Duration(a.Within))
 			case a.Close:
-				n.links.shut(a.Conn)
+				n.links.Shut(a.Conn)
 			default:
-				n.links.send(a.Conn, a.Bytes)
+				n.links.SendHere(a.Conn, a.Bytes)
 			}
 		}
 		says, asks := n.viewers.Take()
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -284,8 +284,8 @@
 			t.Fatalf("told of %d of %d", len(told), len(cut))
 		}
 	}
-	if d := time.Since(began); d > 5*time.Second { // 8 s are owed
-		t.Error("told after", d)
+	if d, n := time.Since(began), x.look().Servers.Refused; d > 5*time.Second || n == 0 { // 8 s are owed
+		t.Error("told after", d, "and refused connects:", n)
 	}
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -77,8 +77,8 @@
 
 // Stats counts what happened to connections; connections and tests are named by their counts.
 type Stats struct {
-	Dialed, Refused, Unanswered, Lost, Spoilt, Stuck, Late, Again uint64
-	Tests, Reports, Shorts                                        uint64 // tests sent, reports read, notes of short delivery
+	Dialed, Refused, Unanswered, Broke, Lost, Spoilt, Stuck, Late, Again uint64
+	Tests, Reports, Shorts                                               uint64 // tests sent, reports read, notes of short delivery
 }
 
 // line is the dialogue with one server.
@@ -452,20 +452,33 @@
 	}
 }
 
-// DialFailed tells that a connection could not be had. refused tells that the machine answered and nobody listens there.
-func (d *Desk) DialFailed(now Time, server uint32, conn uint64, refused bool) {
+// Failure is why a connection could not be had.
+type Failure uint8
+
+// Why connects fail.
+const (
+	Unanswered Failure = iota
+	Refused            // the machine answered: nobody listens there, or its process takes no more
+	Broke              // anything else, as one that stood and ended at once: it proves nothing
+)
+
+// DialFailed tells that a connection could not be had.
+func (d *Desk) DialFailed(now Time, server uint32, conn uint64, why Failure) {
 	d.now = now
 	l := d.lines[server]
 	if l == nil || l.dialing != conn {
 		return
 	}
 	l.dialing = 0
-	if refused {
+	switch why {
+	case Refused:
 		d.Stats.Refused++
 		l.refused, l.silent = l.refused+1, 0
-	} else {
+	case Unanswered:
 		d.Stats.Unanswered++
 		l.silent, l.refused = l.silent+1, 0
+	case Broke:
+		d.Stats.Broke++
 	}
 	l.dialAt = now + min(redialGap<<min(max(l.refused, l.silent, silences)-silences, 8), redialMost)
 	d.fail(l, fate.DialRefused)
--- a/internal/platform/servers/servers_test.go
+++ b/internal/platform/servers/servers_test.go
@@ -76,14 +76,14 @@
 	return a.Conn
 }
 
-func (r *rig) fails(refused bool) {
+func (r *rig) fails(why Failure) {
 	r.t.Helper()
 	if len(r.dials) == 0 {
 		r.t.Fatal("no connect")
 	}
 	a := r.dials[0]
 	r.dials = nil
-	r.d.DialFailed(r.now, a.Server, a.Conn, refused)
+	r.d.DialFailed(r.now, a.Server, a.Conn, why)
 	r.take()
 }
 
@@ -233,7 +233,7 @@
 }
 
 func TestASetUpThatNeverLeft(t *testing.T) {
-	for _, refused := range []bool{true, false} {
+	for _, refused := range []Failure{Refused, Unanswered, Broke} {
 		r := newRig(t)
 		r.setup(5)
 		r.fails(refused)
@@ -336,22 +336,32 @@
 	r := newRig(t)
 	conn := r.plays(5)
 	r.lost(conn, r.bytes[conn])
-	r.fails(true)
+	r.fails(Refused)
 	if len(r.news) != 0 {
 		t.Error("given up on at the first refusal")
 	}
 	r.pass(redialGap + 50*ms)
-	r.fails(true)
+	r.fails(Refused)
 	r.ended(5, policy.ResetConn)
 	r.pass(policy.Second)
 	r.wroteTypes(r.up(), wire.Release) // it was only full of connections: it does not play on for nobody
 	r.empty()
 
+	r = newRig(t) // connects that end at once prove nothing
+	conn = r.plays(5)
+	r.lost(conn, r.bytes[conn])
+	for range 6 {
+		r.fails(Broke)
+		r.pass(redialGap + 50*ms)
+	}
+	if len(r.news) != 0 {
+		t.Errorf("taken for gone: %+v", r.news)
+	}
 	r = newRig(t) // it refuses at its limit, and a connection to it stands
 	r.plays(5)
 	for range 4 {
 		r.pass(quietFor + 50*ms)
-		r.fails(true)
+		r.fails(Refused)
 	}
 	if len(r.news) != 0 || len(r.d.attempts) != 1 {
 		t.Errorf("taken for dead: %+v", r.news)
@@ -364,7 +374,7 @@
 		r.pass(25 * ms)
 		if len(r.dials) > 0 {
 			r.now += 250 * ms
-			r.fails(false)
+			r.fails(Unanswered)
 		}
 	}
 	r.ended(5, policy.ResetConn)
@@ -473,7 +483,7 @@
 	}
 	r = newRig(t)
 	r.do(front.Probe{Server: 1})
-	r.fails(true)
+	r.fails(Refused)
 	if p := r.news[0].(front.Probed); p.Status != policy.NoConnect {
 		t.Errorf("%+v", p)
 	}
--- a/internal/players/players.go
+++ b/internal/players/players.go
@@ -107,7 +107,7 @@
 		return nil, fmt.Errorf("players: %w", err)
 	}
 	h.ln = ln
-	h.loop, err = netpoll.NewEventLoop(h.request, netpoll.WithOnConnect(h.connect), netpoll.WithOnDisconnect(h.disconnect))
+	h.loop, err = netpoll.NewEventLoop(h.request, netpoll.WithOnConnect(h.connect))
 	if err != nil {
 		ln.Close()
 		return nil, fmt.Errorf("players: %w", err)
@@ -146,10 +146,7 @@
 	c := &Conn{hub: h, sock: wsock.New(Path, h.cfg.Front.Message), Sessions: map[uint64]struct{}{},
 		pipe: pipe.New(nc, h.cfg.Front.WriteBuffer, h.cfg.Front.WriteWait)}
 	c.read.Store(int64(h.owner.Now()))
-	nc.AddCloseCallback(func(netpoll.Connection) error { // also when this side closes, which OnDisconnect leaves out
-		c.leave()
-		return nil
-	})
+	pipe.OnEnd(nc, c.leave)
 	h.mu.Lock()
 	full := len(h.conns) >= h.cfg.Front.Connections
 	if !full {
@@ -166,12 +163,6 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-func (h *Hub) disconnect(ctx context.Context, _ netpoll.Connection) {
-	if c, _ := ctx.Value(connKey{}).(*Conn); c != nil {
-		c.leave()
-	}
-}
-
 // leave tells the owner once that the connection is gone.
 func (c *Conn) leave() {
 	if c.gone.Swap(true) {
