--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1355,4 +1355,8 @@
 	if n := len(w.f.fleet.order); n != 3 || w.f.fleet.get(at) != nil {
 		t.Errorf("%d servers are kept", n)
 	}
+	w.do(List{Kind: ListFull, Entries: []Entry{entry(9)}}) // a full list says so by leaving them out
+	if n := len(w.f.fleet.order); n != 1 {
+		t.Errorf("%d servers are kept", n)
+	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -418,7 +418,7 @@
 // that are gone are forgotten: a front that lives long sees many.
 func (f *Front) shelve() {
 	f.fleet.order = slices.DeleteFunc(f.fleet.order, func(v *server) bool {
-		gone := v.Health == Removed && len(v.held) == 0
+		gone := !v.listed && v.Health != Draining && len(v.held) == 0
 		if gone {
 			delete(f.fleet.byID, v.Server)
 			f.fleet.byCell[f.cell(v.Entry)] = remove(f.fleet.byCell[f.cell(v.Entry)], v)
