--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -292,6 +292,7 @@
 
 func (n *Node) handle(item any) {
 	now := n.now()
+	n.trace(item)
 	switch e := item.(type) {
 	case accepted:
 		n.viewers.Accepted(now, e.conn)
@@ -376,6 +377,7 @@
 
 func (n *Node) step(e front.Event) {
 	now := n.now()
+	n.trace(e)
 	if a, ok := e.(front.Adopt); ok {
 		if !n.servers.Adopt(now, front.Setup{Session: a.ID, Server: a.Server, Title: a.Title, Class: a.Class, Viewer: a.Viewer, Name: a.Name}) {
 			n.log.Warn().Str("session", wire.Sid(a.ID)).Msg("handed over at a server that is not known")
@@ -392,6 +394,7 @@
 	now := n.now()
 	var ended []uint64
 	for _, effect := range effects {
+		n.trace(effect)
 		switch e := effect.(type) {
 		case front.Log:
 			n.log.Info().Str("from", "module").Msg(e.Text)
@@ -426,6 +429,11 @@
 		n.log.Warn().Uint64("event", e.Pos).Msg(text)
 	}
 	n.log.Info().Uint64("event", e.Pos).Bool("whole", e.Hosts.Whole).Int("entries", len(entries)).Msg("server list")
+	if n.log.GetLevel() <= zerolog.DebugLevel {
+		for _, x := range list {
+			n.log.Debug().Str("server", fmt.Sprintf("%08x", x.ID)).Str("addr", x.Addr).Bool("drains", x.Drains).Bool("gone", x.Gone).Msg("listed")
+		}
+	}
 	n.servers.Listed(now, list)
 	n.carry(n.core.Step(now, front.Listed{List: policy.List{Kind: kind, Entries: entries}}))
 }
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -35,6 +35,7 @@
 const (
 	stuckFor   = 400 * policy.Millisecond // a message that stays half this long will never be whole
 	quietFor   = 3 * policy.Second        // sessions stand and nothing is heard: does the machine answer a connect?
+	checkFor   = 1 * policy.Second        // a process that refuses connects, or lost its address, and says nothing for so long is gone
 	redialGap  = 250 * policy.Millisecond // between connects that fail, doubled with each
 	redialMost = 4 * policy.Second
 	refusals   = 2                  // connects refused in a row prove that the process is gone
@@ -114,6 +115,7 @@
 	stoodAt   Time
 	readAt    Time
 	partialAt Time // a message has been half there since; 0: none is
+	checkAt   Time // it was asked for a word because connects are refused; 0: it was not
 	stale     bool // nothing new goes here
 }
 
@@ -180,6 +182,16 @@
 	}
 }
 
+// quiet tells that nothing was read from a server for a while.
+func (d *Desk) quiet(l *line) bool {
+	for _, k := range l.links {
+		if d.now-k.readAt < checkFor {
+			return false
+		}
+	}
+	return true
+}
+
 // taken tells whether a server that left the list has lost its address to another.
 func (d *Desk) taken(l *line) bool {
 	if !l.gone {
@@ -486,10 +498,14 @@
 		l.probing = false
 		d.news = append(d.news, front.Probed{Server: server, Status: policy.NoConnect, Took: now - l.probeAt})
 	}
-	// A server refuses connects at its limit too: while another connection stands, its process does, for the end of a
-	// process resets them all.
-	if l.refused >= refusals && len(l.links) == 0 || l.silent >= silences {
+	// A server refuses connects at its limit too, and while it drains: one that is on the list and has a connection left is
+	// asked there for a word. That the connection stands proves nothing.
+	switch {
+	case l.silent >= silences, l.refused >= refusals && (l.gone || len(l.links) == 0):
 		d.dead(l)
+	case l.refused >= refusals && l.cur != nil && l.cur.checkAt == 0:
+		l.cur.checkAt = now
+		d.test(l)
 	}
 }
 
@@ -723,6 +739,12 @@
 }
 
 func (d *Desk) tick(l *line) {
+	// Danger: the end of a process is not always heard of on a connection that stood (its reset may be lost, or nobody is left to
+	// send one), and its viewers would hold sessions that are over. Off the list and refusing, it has ended; so it has when
+	// another is at its address, once what was under way is read.
+	if l.gone && len(l.live) > 0 && (l.refused >= refusals || d.quiet(l) && d.taken(l)) {
+		d.dead(l)
+	}
 	if l.probing && d.now-l.probeAt >= d.cfg.ProbeWait {
 		l.probing = false
 		d.news = append(d.news, front.Probed{Server: l.server, Status: policy.NoConnect, Took: d.now - l.probeAt})
@@ -739,6 +761,13 @@
 			}
 		}
 		switch {
+		case k.checkAt != 0 && k.readAt > k.checkAt: // it is at its limit, or drains
+			k.checkAt, l.refused = 0, 0
+		case k.checkAt != 0 && d.now-k.checkAt >= checkFor && l.refused >= refusals:
+			d.dead(l)
+			return
+		}
+		switch {
 		case k.partialAt != 0 && d.now-k.partialAt >= stuckFor:
 			d.Stats.Stuck++
 			d.drop(l, k, k.sent)
--- a/internal/platform/servers/servers_test.go
+++ b/internal/platform/servers/servers_test.go
@@ -95,6 +95,15 @@
 	r.take()
 }
 
+// last gives what was written last.
+func (r *rig) last(conn uint64) *wire.Message {
+	r.t.Helper()
+	if len(r.wrote[conn]) == 0 {
+		r.t.Fatal("nothing was written")
+	}
+	return r.wrote[conn][len(r.wrote[conn])-1]
+}
+
 func (r *rig) lost(conn, begun uint64) { r.d.Lost(r.now, 1, conn, begun); r.take() }
 
 func (r *rig) pass(d Time) {
@@ -357,13 +366,16 @@
 		t.Errorf("taken for gone: %+v", r.news)
 	}
 	r = newRig(t) // it refuses at its limit, and a connection to it stands
-	r.plays(5)
+	conn = r.plays(5)
 	for range 4 {
 		r.pass(quietFor + 50*ms)
 		r.fails(Refused)
+		if r.pass(25 * ms); len(r.dials) == 0 { // it was asked for a word
+			r.says(conn, (&wire.Message{Type: wire.Tested, Session: r.last(conn).Session}).AddCause(wire.CauseReport))
+		}
 	}
-	if len(r.news) != 0 || len(r.d.attempts) != 1 {
-		t.Errorf("taken for dead: %+v", r.news)
+	if r.d.Stats.Tests == 0 || len(r.d.attempts) != 1 || r.closed[conn] {
+		t.Errorf("taken for dead after %d tests: %+v", r.d.Stats.Tests, r.news)
 	}
 
 	r = newRig(t)
@@ -383,6 +395,42 @@
 	r.empty()
 }
 
+// The end of a process is not always heard of on the connections that stood. Its sessions are over all the same, and that must
+// be told within 8 s.
+func TestAProcessWhoseEndNobodyTold(t *testing.T) {
+	gone := []Server{{ID: 1, Addr: "a:1", Drains: true, Gone: true}}
+	for name, c := range map[string]struct {
+		listed []Server
+		at     Time // when the list tells
+		dials  Failure
+	}{
+		"off the list first":  {gone, 100 * ms, Refused},
+		"refusing first":      {gone, 3500 * ms, Refused},
+		"the list never says": {nil, 0, Refused},
+		"another at its address": {[]Server{{ID: 1, Addr: "a:1", Drains: true, Gone: true}, {ID: 3, Addr: "a:1", Started: start}},
+			100 * ms, Broke},
+	} {
+		r := newRig(t)
+		conn := r.plays(5)
+		began := r.now
+		for len(r.d.attempts) > 0 && r.now < began+8*policy.Second {
+			r.pass(25 * ms)
+			if c.listed != nil && r.now >= began+c.at {
+				r.d.Listed(r.now, c.listed)
+				r.take()
+				c.listed = nil
+			}
+			if len(r.dials) > 0 {
+				r.fails(c.dials)
+			}
+		}
+		r.ended(5, policy.ResetConn)
+		if r.now-began > 7*policy.Second || !r.closed[conn] {
+			t.Errorf("%s: noticed after %d ms, closed %v", name, (r.now-began)/ms, r.closed[conn])
+		}
+	}
+}
+
 func TestAServerThatIsOnlyQuiet(t *testing.T) {
 	r := newRig(t)
 	conn := r.plays(5)
