--- a/internal/standin/platformsim/platformsim.go
+++ b/internal/standin/platformsim/platformsim.go
@@ -64,6 +64,7 @@
 	faults Faults
 	conns  map[net.Conn]bool
 	plays  map[uint64]play
+	tried  map[uint64]int // the last attempt of a session that came here
 	done   sync.WaitGroup
 }
 
@@ -74,7 +75,7 @@
 
 // NewServer starts a server at an address of its own.
 func NewServer(w *World, id uint32) (*Server, error) {
-	s := &Server{ID: id, w: w, addr: "127.0.0.1:0", conns: map[net.Conn]bool{}, plays: map[uint64]play{}}
+	s := &Server{ID: id, w: w, addr: "127.0.0.1:0", conns: map[net.Conn]bool{}, plays: map[uint64]play{}, tried: map[uint64]int{}}
 	return s, s.Start()
 }
 
@@ -231,6 +232,7 @@
 		s.w.mu.Lock()
 		e := record.Event{Who: s.Name(), What: record.Setup, Session: wire.Sid(m.Session), Attempt: s.w.tries[m.Session], Server: s.ID,
 			Class: s.w.classes[text(wire.ParamClass)], Title: text(wire.ParamTitle)}
+		s.tried[m.Session] = e.Attempt
 		s.w.tries[m.Session]++
 		s.w.mu.Unlock()
 		s.w.add(e)
@@ -244,10 +246,8 @@
 			write(c, &wire.Message{Type: wire.Released, Session: m.Session})
 			return
 		}
-		s.w.mu.Lock()
-		e := record.Event{Who: s.Name(), What: record.Teardown, Session: wire.Sid(m.Session), Attempt: s.w.tries[m.Session] - 1, Server: s.ID}
-		s.w.mu.Unlock()
-		s.w.add(e)
+		// Of the attempts that came here: the next may be at another server already, by another connection.
+		s.w.add(record.Event{Who: s.Name(), What: record.Teardown, Session: wire.Sid(m.Session), Attempt: s.tried[m.Session], Server: s.ID})
 	case wire.Test:
 		if !s.faults.Hang {
 			tested := (&wire.Message{Type: wire.Tested, Session: m.Session}).AddCause(1)
