Probes are earned by their price; own additions of hundreds of fronts count by their root

(2) others() counted an own addition once for each of 299 other fronts, so that one session filled any server until its next report. Change: a first try earns probes for at most probeCost of the result at the stated price (unchanged at 0.01); alike() counts others in full up to five, then their root (unchanged up to six fronts). Both tests fail without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,10 +23,11 @@
 
 	reportLag, keepChanges  = 4 * Second / 10, 5 * Second // age of a report that comes; past any lateness
 	staleHalf, meanBlend    = 8 * Second, 0.1             // a report's half-life; its weight in the average
+	alikeAll                = 5.0                         // other fronts that an own addition stands for in full
 	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
-	probeEach               = 1.2                         // probes a request earns: half a point at most
+	probeEach, probeCost    = 1.2, 0.032                  // probes a request earns; what they may cost of a result
 	probesStart, probesMost = 4.0, 20.0                   // at the start: a look; saved
 	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if all may be cold, else
 
@@ -145,7 +146,7 @@
 func (f *Front) others(m *meter) float64 {
 	avg := *f.meanOf(m)
 	if m.own > 0 {
-		avg = (avg + m.own/m.cap*float64(f.set.Fleet-1)) / 2
+		avg = (avg + m.own/m.cap*f.alike()) / 2
 	}
 	if m.parts != nil && !slices.Contains(f.set.Fields, FieldUplink) { // never reported
 		avg = 0
@@ -160,11 +161,18 @@
 	}
 	known := max(m.use-m.useOwn/m.cap, 0)
 	// What this front has added since, the others that saw the same room are taken to have added too.
-	unseen := max(m.own-m.useOwn, 0) / m.cap * float64(f.set.Fleet-1)
+	unseen := max(m.own-m.useOwn, 0) / m.cap * f.alike()
 	w := f.guess(m)
 	return (1-w)*max(known, min(known+unseen, most)) + w*avg
 }
 
+// alike is how many other fronts an own addition is taken to stand for: all of a few, for they see the same room and fill it
+// alike. Of hundreds it counts for their root: it is a sample of one, and a single session times hundreds fills any server.
+func (f *Front) alike() float64 {
+	n := float64(max(f.set.Fleet-1, 0))
+	return min(n, alikeAll+math.Sqrt(max(n-alikeAll, 0)))
+}
+
 // guess tells how much of an estimated use is a guess: all of it without a report, less the newer it is.
 func (f *Front) guess(m *meter) float64 {
 	if m.parts != nil && !slices.Contains(f.set.Fields, FieldUplink) {
@@ -252,7 +260,13 @@
 }
 
 // earn gives the probes of a first try: by their number probes are priced.
-func (f *Front) earn() { f.probes = min(f.probes+probeEach, probesMost) }
+func (f *Front) earn() {
+	each := probeEach
+	if f.set.PriceProbe > 0 {
+		each = min(each, probeCost/f.set.PriceProbe)
+	}
+	f.probes = min(f.probes+each, probesMost)
+}
 
 func (f *Front) started(e Playing) {
 	s := f.byID[e.ID]
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -933,6 +933,42 @@
 }
 
 // Viewers who come again and again to a full fleet must not each pay for a look.
+// One session of its own, times hundreds of fronts, filled every server that a front used: it refused beside idle links.
+func TestOneSessionOfHundredsOfFrontsFillsNoServer(t *testing.T) {
+	use := func(fleet int, heard bool) float64 {
+		set := settings()
+		set.Fleet, set.WeightKB, set.RackKB = fleet, 20_000, 80_000
+		w := newWorld(t, set)
+		if heard {
+			w.now += 10 * Second
+			w.useAll(0.3)
+			w.now += Second
+		}
+		w.do(Handed{Ask: w.ask(1, 0), Server: 1})
+		w.do(Note{ID: 1, Server: 1, Kind: NoteRung, Value: 3})
+		return w.f.load(&w.f.fleet.get(1).link)
+	}
+	for _, heard := range []bool{true, false} {
+		if few, many := use(6, heard), use(300, heard); many > mark-0.1 || many <= few {
+			t.Errorf("heard %v: use %.2f of six fronts, %.2f of 300", heard, few, many)
+		}
+	}
+}
+
+// At eight times the price three hundred fronts paid a tenth of what they earned for looks.
+func TestADearProbeIsEarnedMoreSeldom(t *testing.T) {
+	set := settings()
+	set.PriceProbe = 0.08
+	w := newWorld(t, set)
+	w.f.probes = 0
+	for id := range uint64(20) {
+		w.do(Request{w.ask(id+1, 0)})
+	}
+	if paid := w.f.probes / 20 * set.PriceProbe; paid > probeCost+1e-9 || paid < probeCost/2 {
+		t.Fatalf("probes for %.3f of the result, %.3f at most", paid, probeCost)
+	}
+}
+
 func TestOnlyFirstTriesEarnProbes(t *testing.T) {
 	w := newWorld(t, settings())
 	w.f.probes = 0
