Descriptors shared as the list grows; the last request of a leaving front is answered

TestMoreServersThanDescriptors, TestSharesOfDescriptors. - over() ended 1.5 s after SIGTERM with nothing open, though a request might lie half read: it waits for 300 ms of quiet, no half line, an empty queue and nothing unwritten.

--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -89,6 +89,13 @@
 	p.conn.Close()
 }
 
+// Idle tells whether all that was to be sent is in the system's hands, or lost.
+func (p *Pipe) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dead || !p.active && len(p.buf) == 0
+}
+
 // Begun gives an upper bound of the bytes handed to the kernel: what lies past it never left.
 func (p *Pipe) Begun() uint64 { return p.begun.Load() }
 
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -145,6 +145,18 @@
 	time.AfterFunc(lingers, k.pipe.Finish)
 }
 
+// idle tells whether nothing waits to be written to anybody.
+func (c *clients) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.conns {
+		if !k.pipe.Idle() {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *clients) close(ctx context.Context) {
 	c.mu.Lock()
 	all := make([]*client, 0, len(c.conns))
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -41,12 +41,17 @@
 	answerMargin = 10 * policy.Millisecond // the module is told deadlines this much earlier
 	lastLine     = 2 * policy.Millisecond
 	movedFor     = 10 * policy.Second
-	reserve      = 48 // descriptors that are neither viewers' nor servers'
+	reserve      = 48   // descriptors that are neither viewers' nor servers'
+	connsMost    = 4096 // connections of each kind where no limit is stated
+	hostsLeast   = 8    // servers that room is kept for
 	statsEvery   = 10 * policy.Second
 	leaveAfter   = 1500 * policy.Millisecond // requests come for so long after SIGTERM, with room
+	leaveQuiet   = 300 * policy.Millisecond  // and viewers said nothing for so long
 	leaveMost    = 60 * policy.Second
-	linkBytes    = 256 << 10              // that may wait on one connection to a server
-	linkWrite    = 100 * time.Millisecond // a peer that takes nothing for so long loses its connection
+	linkBytes    = 256 << 10 // that may wait on one connection to a server
+	// A server that takes nothing for so long, behind what the system holds for it, loses its connection. The owner writes to
+	// servers itself: all others wait meanwhile, and their answers have 50 ms of slack.
+	linkWrite = 20 * time.Millisecond
 )
 
 // Node is one front.
@@ -66,6 +71,7 @@
 	hosts   hosts
 	owners  map[uint64]uint32 // of connections to servers, by connection
 	leaving front.Time        // SIGTERM came then; 0: it did not
+	saidAt  front.Time        // viewers were last heard, or came
 	done    chan struct{}
 }
 
@@ -81,12 +87,9 @@
 		AnswerMargin: answerMargin, LastLine: lastLine, MovedFor: movedFor, MovedMost: 10_000})
 	wait := max(cfg.Settings.ConnectWait, 50*policy.Millisecond)
 	n.servers = servers.New(servers.Config{Classes: cfg.Names.Classes, Fields: cfg.Names.Fields, Connect: wait, ProbeWait: wait})
-	conns := 4096
-	if cfg.Sockets > 0 {
-		conns = max(cfg.Sockets-reserve-2*cfg.hostsMost(), cfg.Sockets/3)
-	}
-	n.viewers = viewers.New(viewers.Config{Settings: cfg.Settings, Classes: cfg.Names.Classes, Host: n.hosts.number, ConnsMost: conns,
-		OpenMost: openMost, Silent: silentMost, Half: halfMost, Idle: idleMost})
+	n.viewers = viewers.New(viewers.Config{Settings: cfg.Settings, Classes: cfg.Names.Classes, Host: n.hosts.number, OpenMost: openMost,
+		Silent: silentMost, Half: halfMost, Idle: idleMost})
+	n.share()
 	n.follow = journal.New(cfg.Journal, cfg.Pos, rand.Float64)
 	n.links, n.feed = pipe.NewLinks(linkBytes, linkWrite), pipe.NewLinks(linkBytes, linkWrite)
 	for _, e := range cfg.Known {
@@ -100,12 +103,16 @@
 	return n, nil
 }
 
-// hostsMost is how many servers connections are kept for: those known, and as many again that replace them.
-func (c *Config) hostsMost() (most int) {
-	for _, e := range c.Known {
-		most = max(most, len(e.Hosts.Hosts))
+// share divides the descriptors: servers get two each, one and another that replaces it, as far as viewers keep the third that
+// the protocol gives them. It is done again as the list grows.
+func (n *Node) share() {
+	conns, links := connsMost, connsMost
+	if free := n.cfg.Sockets - reserve; n.cfg.Sockets > 0 {
+		conns = max(free-2*max(n.hosts.len(), hostsLeast), n.cfg.Sockets/3, 1)
+		links = max(free-conns, 1)
 	}
-	return min(most, 200)
+	n.viewers.Limit(conns)
+	n.servers.Limit(links)
 }
 
 // now is the module's clock: Unix time at the start, monotonic from there.
@@ -282,12 +289,19 @@
 	}
 }
 
-// over tells whether a front that is to leave has nothing left to do. Standing sessions would end with it.
+// over tells whether a front that is to leave has nothing left to do: nothing is open or held, no request is half here, no
+// answer waits to be written, and viewers have been quiet for a while, so that none lies unread in a socket or in the queue.
+// Danger: the close of a connection loses what is unread on it, and with it destroys what was just written. Standing
+// sessions would end with the front.
 func (n *Node) over(now front.Time) bool {
 	if n.leaving == 0 || now < n.leaving+leaveAfter {
 		return false
 	}
-	return n.core.Open() == 0 && n.core.Held() == 0 || now >= n.leaving+leaveMost
+	if now >= n.leaving+leaveMost {
+		return true
+	}
+	waiting, _, _ := n.queue.Stats()
+	return n.core.Open() == 0 && n.core.Held() == 0 && waiting == 0 && now >= n.saidAt+leaveQuiet && !n.viewers.Halves() && n.clients.idle()
 }
 
 func (n *Node) handle(item any) {
@@ -295,8 +309,10 @@
 	n.trace(item)
 	switch e := item.(type) {
 	case accepted:
+		n.saidAt = now
 		n.viewers.Accepted(now, e.conn)
 	case said:
+		n.saidAt = now
 		n.viewers.Received(now, e.read, e.conn, e.list, e.broken, e.partial, n.core.Known)
 	case left:
 		n.viewers.Lost(now, e.conn)
@@ -435,6 +451,7 @@
 		}
 	}
 	n.servers.Listed(now, list)
+	n.share()
 	n.carry(n.core.Step(now, front.Listed{List: policy.List{Kind: kind, Entries: entries}}))
 }
 
@@ -501,11 +518,12 @@
 type hosts struct {
 	zones, kinds map[string]int
 	byName       map[string]uint32
+	used         map[uint32]bool
 	next         uint32
 }
 
 func newHosts(zones, kinds []string) hosts {
-	h := hosts{zones: map[string]int{}, kinds: map[string]int{}, byName: map[string]uint32{}}
+	h := hosts{zones: map[string]int{}, kinds: map[string]int{}, byName: map[string]uint32{}, used: map[uint32]bool{}}
 	for i, z := range zones {
 		h.zones[z] = i
 	}
@@ -533,14 +551,19 @@
 			id = uint32(v)
 		}
 	}
-	for id == 0 || slices.Contains(slices.Collect(maps.Values(h.byName)), id) {
+	for id == 0 || h.used[id] {
 		h.next++
 		id = h.next
 	}
-	h.byName[name] = id
+	h.byName[name], h.used[id] = id, true
 	return id
 }
 
+func (h *hosts) drop(name string) {
+	delete(h.used, h.byName[name])
+	delete(h.byName, name)
+}
+
 // take translates an event. What of it can't be used is told in bad.
 func (h *hosts) take(e *wire.Hosts) (entries []policy.Entry, list []servers.Server, bad []string) {
 	health := map[string]policy.Health{wire.HostReady: policy.Ready, wire.HostDraining: policy.Draining, wire.HostGone: policy.Removed}
@@ -565,14 +588,14 @@
 		list = append(list, servers.Server{ID: id, Addr: x.Dial, Started: entry.Started, Drains: entry.Health != policy.Ready,
 			Gone: entry.Health == policy.Removed})
 		if entry.Health == policy.Removed {
-			delete(h.byName, x.Name)
+			h.drop(x.Name)
 		}
 	}
 	if e.Whole {
 		for _, name := range sortedNames(h.byName) {
 			if !named[name] {
 				list = append(list, servers.Server{ID: h.byName[name], Drains: true, Gone: true})
-				delete(h.byName, name)
+				h.drop(name)
 			}
 		}
 	}
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -373,6 +374,46 @@
 	x.end()
 }
 
+// A request whose last byte comes as the front is about to end gets its answer whole, however late it began to leave.
+func TestALastRequestWhileLeaving(t *testing.T) {
+	x := newSite(t, 1024)
+	v := x.viewer()
+	sid := x.id()
+	text := platformsim.Form(sid, "safe", 1500*time.Millisecond, "")
+	x.node.Leave()
+	time.Sleep(time.Duration(leaveAfter) - 300*time.Millisecond)
+	for part := range slices.Chunk([]byte(text), len(text)/5+1) { // its bytes come one by one until the end of the wait is over
+		if err := v.Write(string(part)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if l := x.line(v, sid); l.Msg != "ready" {
+		t.Fatalf("%+v", l)
+	}
+	v.GiveUp(sid)
+	select {
+	case err := <-x.done:
+		x.done <- err
+	case <-time.After(8 * time.Second):
+		t.Error("it stays")
+	}
+	v.Close()
+	x.end()
+}
+
+// Servers and descriptors: viewers keep their third, servers get the rest as the list grows, and no list is cut short.
+func TestSharesOfDescriptors(t *testing.T) {
+	for _, n := range []int{10, 200, 1200} {
+		x := listedNode(t, n)
+		conns, links := x.viewers.Limits(), x.servers.Limits()
+		if conns < 608/3 || conns+links > 608-reserve || links < min(2*n, 608-reserve-608/3) || x.hosts.len() != n || x.core.Ready() != n {
+			t.Errorf("%d servers: %d connections of viewers, %d to servers, %d listed, %d ready", n, conns, links, x.hosts.len(), x.core.Ready())
+		}
+		x.clients.close(context.Background())
+	}
+}
+
 func TestBadClientsAreAnsweredOrClosedAndUsualOnesServed(t *testing.T) {
 	x := newSite(t, 256)
 	bad := map[string]string{
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"unicode/utf8"
@@ -70,7 +71,10 @@
 	cfg      Config
 	now      Time
 	lines    map[uint32]*line
+	order    []uint32            // ids of lines, sorted; nil: to be made anew
 	attempts map[uint64]*attempt // by session: waiting, out or playing
+	most     int                 // connections that stand or are being opened
+	open     int
 	acts     []Act
 	news     []front.Event
 	Stats    Stats
@@ -78,8 +82,8 @@
 
 // Stats counts what happened to connections; connections and tests are named by their counts.
 type Stats struct {
-	Dialed, Refused, Unanswered, Broke, Lost, Spoilt, Stuck, Late, Again uint64
-	Tests, Reports, Shorts                                               uint64 // tests sent, reports read, notes of short delivery
+	Dialed, Crowded, Refused, Unanswered, Broke, Lost, Spoilt, Stuck, Late, Again uint64
+	Tests, Reports, Shorts                                                        uint64 // tests sent, reports read, notes of short delivery
 }
 
 // line is the dialogue with one server.
@@ -133,7 +137,7 @@
 
 // New makes a desk that knows no servers.
 func New(cfg Config) *Desk {
-	return &Desk{cfg: cfg, lines: map[uint32]*line{}, attempts: map[uint64]*attempt{}}
+	return &Desk{cfg: cfg, lines: map[uint32]*line{}, attempts: map[uint64]*attempt{}, most: math.MaxInt}
 }
 
 // Take gives what has come up since the last call: what the shell is to do, in order and before the events are
@@ -144,6 +148,12 @@
 	return acts, news
 }
 
+// Limit sets how many connections may stand or be opened at a time.
+func (d *Desk) Limit(links int) { d.most = links }
+
+// Limits gives what Limit has set.
+func (d *Desk) Limits() int { return d.most }
+
 // Listed books entries of the list: what is new or has changed.
 func (d *Desk) Listed(now Time, list []Server) {
 	d.now = now
@@ -156,6 +166,7 @@
 			l = &line{server: s.ID, addr: s.Addr, started: s.Started, links: map[uint64]*link{}, live: map[uint64]*attempt{},
 				leaving: map[uint64]Time{}, given: map[uint64]Time{}, doomed: map[uint64]Time{}}
 			d.lines[s.ID] = l
+			d.order = nil
 		}
 		l.drains, l.gone = s.Drains, s.Gone
 		if s.Started > l.started { // another process: what the old one played is over
@@ -424,17 +435,58 @@
 	if l.dialing != 0 || !now && d.now < l.dialAt {
 		return
 	}
+	if d.open >= d.most && !d.makeRoom(l, now) {
+		// Danger: a connect without a descriptor looks like a server that can't be reached. What waits never left.
+		d.Stats.Crowded++
+		l.dialAt = d.now + redialGap
+		d.fail(l, fate.Withdrawn)
+		if l.probing {
+			l.probing = false
+			d.news = append(d.news, front.Probed{Server: l.server, Status: policy.Moot})
+		}
+		return
+	}
+	d.open++
 	d.Stats.Dialed++
 	l.dialing = d.Stats.Dialed
 	d.acts = append(d.acts, Act{Server: l.server, Conn: l.dialing, Dial: l.addr, Within: d.cfg.Connect})
 }
 
+// makeRoom closes the connection that is least missed: nothing is open on it, and it carries no sessions or, if there is no
+// such and something waits to be sent, the fewest; of those the longest quiet. Harm: what a server has to say of its sessions
+// there waits for the next one.
+func (d *Desk) makeRoom(but *line, urgent bool) bool {
+	var worst *link
+	var at *line
+	for _, l := range d.lines {
+		if l == but || l.dialing != 0 || len(l.waiting) > 0 || len(l.live) > 0 && !urgent {
+			continue
+		}
+		for _, k := range l.links {
+			if len(k.out)+len(k.tests) > 0 {
+				continue
+			}
+			if worst == nil || len(l.live) < len(at.live) || len(l.live) == len(at.live) && (k.readAt < worst.readAt ||
+				k.readAt == worst.readAt && k.conn < worst.conn) {
+				worst, at = k, l
+			}
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	at.dialAt = max(at.dialAt, d.now+redialGap)
+	d.drop(at, worst, worst.sent)
+	return true
+}
+
 // Connected tells that a connection stands.
 func (d *Desk) Connected(now Time, server uint32, conn uint64) {
 	d.now = now
 	l := d.lines[server]
 	if l == nil || l.dialing != conn {
 		d.acts = append(d.acts, Act{Server: server, Conn: conn, Close: true})
+		d.open-- // its line has left meanwhile
 		return
 	}
 	l.dialing, l.refused, l.silent = 0, 0, 0
@@ -478,6 +530,7 @@
 func (d *Desk) DialFailed(now Time, server uint32, conn uint64, why Failure) {
 	d.now = now
 	l := d.lines[server]
+	d.open--
 	if l == nil || l.dialing != conn {
 		return
 	}
@@ -548,6 +601,7 @@
 // drop ends a connection and what was open on it.
 func (d *Desk) drop(l *line, k *link, begun uint64) {
 	delete(l.links, k.conn)
+	d.open--
 	if l.cur == k {
 		l.cur = nil
 	}
@@ -733,8 +787,15 @@
 // Tick lets time pass; it is to be called several times a second.
 func (d *Desk) Tick(now Time) {
 	d.now = now
-	for _, id := range sorted(d.lines) {
-		d.tick(d.lines[id])
+	if d.order == nil {
+		d.order = sorted(d.lines)
+	}
+	for _, id := range d.order {
+		// Most of hundreds of servers have nothing going on: they cost a look each.
+		if l := d.lines[id]; l != nil && (l.gone || l.probing || len(l.links)+len(l.live)+len(l.leaving)+len(l.given)+len(l.doomed)+
+			len(l.waiting) > 0) {
+			d.tick(l)
+		}
 	}
 }
 
@@ -802,6 +863,7 @@
 				d.drop(l, l.links[id], l.links[id].sent)
 			}
 			delete(d.lines, l.server)
+			d.order = nil
 		}
 	}
 }
--- a/internal/platform/servers/servers_test.go
+++ b/internal/platform/servers/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strconv"
 	"testing"
 
 	"tealledge/decide/fate"
@@ -568,3 +569,45 @@
 	r.do(front.Setup{Session: 8, Server: 1})
 	r.ended(8, policy.NoConnect)
 }
+
+// More servers than descriptors: a set-up gets a connection by closing one that is less missed, none fails for want of one, and
+// a connection with a set-up open is never closed for another.
+func TestMoreServersThanDescriptors(t *testing.T) {
+	r := newRig(t)
+	var list []Server
+	for id := range uint32(1200) {
+		list = append(list, Server{ID: id + 1, Addr: "a:" + strconv.Itoa(int(id))})
+	}
+	r.d.Listed(r.now, list)
+	r.d.Limit(20)
+	open, most := map[uint64]bool{}, 0
+	for id := range uint32(1200) {
+		r.do(front.Setup{Session: uint64(id) + 1, Server: id + 1, Name: "7f3a9c21e0b4d655", Text: "who", Within: 900 * ms})
+		conn := r.up()
+		open[conn] = true
+		for c := range r.closed {
+			delete(open, c)
+		}
+		most = max(most, len(open))
+		if id%2 == 0 { // some stay and play: those connections go last
+			b, _ := (&wire.Message{Type: wire.Ready, Session: uint64(id) + 1}).Add(wire.ParamText, "here").Append(nil)
+			r.d.Received(r.now, id+1, conn, b)
+		} else {
+			b, _ := (&wire.Message{Type: wire.Release, Session: uint64(id) + 1}).AddCause(wire.CauseFull).Append(nil)
+			r.d.Received(r.now, id+1, conn, b)
+		}
+		r.take()
+	}
+	if most > 20 || r.d.Stats.Crowded != 0 {
+		t.Errorf("%d connections at a time, %d set-ups without", most, r.d.Stats.Crowded)
+	}
+	r = newRig(t) // all are in use: the next set-up provably never left
+	r.d.Limit(1)
+	r.setup(1)
+	conn := r.up()
+	r.do(front.Setup{Session: 2, Server: 2, Name: "7f3a9c21e0b4d655", Text: "who", Within: 900 * ms})
+	r.ended(2, policy.Moot)
+	if r.closed[conn] || len(r.dials) != 0 {
+		t.Error("a set-up lost its connection")
+	}
+}
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,14 +25,13 @@
 
 // Config is what a desk is started with. Sizes bound what clients may cost.
 type Config struct {
-	Settings  policy.Settings
-	Classes   []string                    // names, by the module's numbers
-	Host      func(string) (uint32, bool) // a server's number
-	ConnsMost int                         // connections held
-	OpenMost  int                         // requests without their answer on one connection
-	Silent    Time                        // a connection that never said anything is closed after
-	Half      Time                        // a line that stays half so long is an error
-	Idle      Time                        // a connection without sessions is closed after so long without a word
+	Settings policy.Settings
+	Classes  []string                    // names, by the module's numbers
+	Host     func(string) (uint32, bool) // a server's number
+	OpenMost int                         // requests without their answer on one connection
+	Silent   Time                        // a connection that never said anything is closed after
+	Half     Time                        // a line that stays half so long is an error
+	Idle     Time                        // a connection without sessions is closed after so long without a word
 }
 
 // releaseBy is how long a session that is over waits for a connection on which that can be told.
@@ -60,11 +60,28 @@
 	owed     map[uint64]owed // releases that no connection could carry
 	recent   map[uint64]Time
 	order    []uint64 // of recent
+	most     int      // connections held
 	acts     []Act
 	news     []front.Event
 	Stats    Stats
 }
 
+// Limit sets how many connections are held; those past it are closed as others come.
+func (d *Desk) Limit(conns int) { d.most = conns }
+
+// Limits gives what Limit has set.
+func (d *Desk) Limits() int { return d.most }
+
+// Halves tells whether a line has begun on any connection and not ended.
+func (d *Desk) Halves() bool {
+	for _, c := range d.conns {
+		if c.partialAt != 0 && !c.closed {
+			return true
+		}
+	}
+	return false
+}
+
 // Stats counts what viewers did.
 type Stats struct {
 	Accepted, Evicted, Silent, Idle, BadLines, BadAsks, Crowded, TakenBack uint64
@@ -95,7 +112,7 @@
 // New makes a desk without connections.
 func New(cfg Config) *Desk {
 	d := &Desk{cfg: cfg, classes: map[string]int{}, conns: map[uint64]*client{}, sessions: map[uint64]*session{},
-		owed: map[uint64]owed{}, recent: map[uint64]Time{}}
+		owed: map[uint64]owed{}, recent: map[uint64]Time{}, most: math.MaxInt}
 	for i, name := range cfg.Classes {
 		d.classes[name] = i
 	}
@@ -114,7 +131,7 @@
 	d.now = now
 	d.Stats.Accepted++
 	d.conns[conn] = &client{id: conn, at: now, heardAt: now, open: map[uint64]bool{}}
-	if len(d.conns) > d.cfg.ConnsMost {
+	if len(d.conns) > d.most {
 		d.evict(conn)
 	}
 }
--- a/internal/platform/viewers/viewers_test.go
+++ b/internal/platform/viewers/viewers_test.go
@@ -32,8 +32,9 @@
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: start, wrote: map[uint64][]wire.Line{}, closed: map[uint64]bool{}, busy: map[uint64]bool{}}
 	r.d = New(Config{Settings: policy.Settings{Cells: 12, RetryAfter: true, MaxRetry: policy.Second}, Classes: []string{"live", "paid"},
-		Host:      func(name string) (uint32, bool) { return 7, name == "s-7" },
-		ConnsMost: 4, OpenMost: 3, Silent: 2 * policy.Second, Half: 2 * policy.Second, Idle: 6 * policy.Second})
+		Host:     func(name string) (uint32, bool) { return 7, name == "s-7" },
+		OpenMost: 3, Silent: 2 * policy.Second, Half: 2 * policy.Second, Idle: 6 * policy.Second})
+	r.d.Limit(4)
 	r.accept(1)
 	return r
 }
