--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,11 +23,11 @@
 
 	reportLag, keepChanges  = 4 * Second / 10, 5 * Second // age of a report that comes; past any lateness
 	staleHalf, meanBlend    = 8 * Second, 0.1             // a report's half-life; its weight in the average
-	alikeAll                = 5.0                         // other fronts that an own addition stands for in full
+	alikeAll                = 5.0                         // others that an own addition counts for in full
 	blend, blendWithin      = 0.5, 4 * Second             // noisy: its weight against an estimate this fresh
 	meanStart               = 0.4                         // others' use before any report: a moderate day
 	rackTogether, rackLike  = 3 * Second / 2, 0.08        // short within this and alike: the uplink
-	probeEach, probeCost    = 1.2, 0.032                  // probes a request earns; what they may cost of a result
+	probeEach, probeCost    = 1.2, 0.032                  // probes a request earns; their part of G at most
 	probesStart, probesMost = 4.0, 20.0                   // at the start: a look; saved
 	probeBlock, probeStale  = 1 * Second, 2 * Second      // age to probe at if all may be cold, else
 
@@ -166,8 +166,9 @@
 	return (1-w)*max(known, min(known+unseen, most)) + w*avg
 }
 
-// alike is how many other fronts an own addition is taken to stand for: all of a few, for they see the same room and fill it
-// alike. Of hundreds it counts for their root: it is a sample of one, and a single session times hundreds fills any server.
+// alike is how many other fronts an own addition is taken to stand for: all of a few, for they see the
+// same room and fill it alike. Of hundreds it counts for their root: it is a sample of one, and a single
+// session times hundreds fills any server.
 func (f *Front) alike() float64 {
 	n := float64(max(f.set.Fleet-1, 0))
 	return min(n, alikeAll+math.Sqrt(max(n-alikeAll, 0)))
