--- a/internal/platform/node/bench_test.go
+++ b/internal/platform/node/bench_test.go
@@ -11,7 +11,7 @@
 	"tealledge/internal/platform/wire"
 )
 
-// BenchmarkTick measures a tick of a front that knows so many servers and has a session at each third, and what it holds. See
+// BenchmarkTick measures a tick of a front that knows so many servers and has nothing under way, and what it holds. See
 // docs/design/platform.md.
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{10, 200, 1200} {
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -354,6 +354,17 @@
 	x.close()
 }
 
+// leaves waits for the end of a front that was told to leave: nothing can be owed any more.
+func (x *site) leaves() {
+	x.t.Helper()
+	select {
+	case err := <-x.done:
+		x.done <- err
+	case <-time.After(8 * time.Second):
+		x.t.Error("it stays")
+	}
+}
+
 func TestLeavingUnderLoad(t *testing.T) {
 	x := newSite(t, 1024)
 	for _, s := range x.servers {
@@ -364,12 +375,7 @@
 	for sid := range x.asks(v, 30, 20*time.Millisecond) {
 		v.GiveUp(sid)
 	}
-	select { // nothing can be owed any more
-	case err := <-x.done:
-		x.done <- err
-	case <-time.After(8 * time.Second):
-		t.Error("it stays")
-	}
+	x.leaves()
 	v.Close()
 	x.end()
 }
@@ -392,12 +398,7 @@
 		t.Fatalf("%+v", l)
 	}
 	v.GiveUp(sid)
-	select {
-	case err := <-x.done:
-		x.done <- err
-	case <-time.After(8 * time.Second):
-		t.Error("it stays")
-	}
+	x.leaves()
 	v.Close()
 	x.end()
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -932,7 +932,6 @@
 	}
 }
 
-// Viewers who come again and again to a full fleet must not each pay for a look.
 // One session of its own, times hundreds of fronts, filled every server that a front used: it refused beside idle links.
 func TestOneSessionOfHundredsOfFrontsFillsNoServer(t *testing.T) {
 	use := func(fleet int, heard bool) float64 {
@@ -969,6 +968,7 @@
 	}
 }
 
+// Viewers who come again and again to a full fleet must not each pay for a look.
 func TestOnlyFirstTriesEarnProbes(t *testing.T) {
 	w := newWorld(t, settings())
 	w.f.probes = 0
