--- a/internal/pipe/links_test.go
+++ b/internal/pipe/links_test.go
@@ -76,13 +76,18 @@
 	}
 	for name, send := range map[string]func(*Links, uint64, []byte){"queued": (*Links).Send, "here": (*Links).SendHere} {
 		l := NewLinks(1<<16, 50*time.Millisecond)
-		stands, lost := make(chan struct{}), make(chan uint64, 1)
+		stands, lost, waits := make(chan struct{}), make(chan uint64, 1), false
 		l.Dial(1, dialer(ln.Addr().String()), Handler{Connected: func() { close(stands) }, Failed: func(err error) { t.Error(err) },
 			Read: func([]byte) {}, Lost: func(begun uint64) { lost <- begun }})
 		<-stands
 		sent := uint64(0)
+		p := l.pipe(1)
+		if !p.Idle() {
+			t.Errorf("%s: something waits before anything was sent", name)
+		}
 		for end := time.Now().Add(10 * time.Second); ; {
 			send(l, 1, make([]byte, 32<<10))
+			waits = waits || !p.Idle()
 			sent += 32 << 10
 			select {
 			case begun := <-lost:
@@ -97,6 +102,9 @@
 			}
 			break
 		}
+		if !waits && name == "queued" {
+			t.Error("what the peer does not take is said to be written")
+		}
 		l.Close()
 	}
 	addr := ln.Addr().String()
