The servers' dialogue in files by what they decide; no behaviour changed

Change: set-ups, sessions, connections, ends of processes, what is heard, tests and time each have a file, tests by what they guard. The declarations are the same, moved.

--- /dev/null
+++ b/internal/platform/servers/connections.go
@@ -0,0 +1,209 @@
+package servers
+
+import (
+	"tealledge/decide/fate"
+	"tealledge/internal/front"
+	"tealledge/internal/platform/wire"
+	"tealledge/policy"
+)
+
+// Connections: opened when something is to be said or heard, replaced, given back when descriptors run out.
+
+// retire has a connection take nothing new.
+func (d *Desk) retire(l *line, k *link) {
+	k.stale = true
+	if l.cur == k {
+		l.cur = nil
+	}
+	d.wanted(l)
+}
+
+// wanted opens a connection if there is anything to be heard or said.
+func (d *Desk) wanted(l *line) {
+	if l.cur == nil && (len(l.waiting) > 0 || len(l.live) > 0 || len(l.doomed) > 0 || l.probing) {
+		d.dial(l, len(l.waiting) > 0 || l.probing)
+	}
+}
+
+// dial opens a connection, unless one is being opened. What waits does not wait for the pause after a failure.
+func (d *Desk) dial(l *line, now bool) {
+	if l.dialing != 0 || !now && d.now < l.dialAt {
+		return
+	}
+	if d.open >= d.most && !d.makeRoom(l, now) {
+		// Danger: a connect without a descriptor looks like a server that can't be reached. What waits never left.
+		d.Stats.Crowded++
+		l.dialAt = d.now + redialGap
+		d.fail(l, fate.Withdrawn)
+		if l.probing {
+			l.probing = false
+			d.news = append(d.news, front.Probed{Server: l.server, Status: policy.Moot})
+		}
+		return
+	}
+	d.open++
+	d.Stats.Dialed++
+	l.dialing = d.Stats.Dialed
+	d.acts = append(d.acts, Act{Server: l.server, Conn: l.dialing, Dial: l.addr, Within: d.cfg.Connect})
+}
+
+// makeRoom closes the connection that is least missed: nothing is open on it, and it carries no sessions or, if there is no
+// such and something waits to be sent, the fewest; of those the longest quiet. Harm: what a server has to say of its sessions
+// there waits for the next one.
+func (d *Desk) makeRoom(but *line, urgent bool) bool {
+	var worst *link
+	var at *line
+	for _, l := range d.lines {
+		if l == but || l.dialing != 0 || len(l.waiting) > 0 || len(l.live) > 0 && !urgent {
+			continue
+		}
+		for _, k := range l.links {
+			if len(k.out)+len(k.tests) > 0 {
+				continue
+			}
+			if worst == nil || len(l.live) < len(at.live) || len(l.live) == len(at.live) && (k.readAt < worst.readAt ||
+				k.readAt == worst.readAt && k.conn < worst.conn) {
+				worst, at = k, l
+			}
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	at.dialAt = max(at.dialAt, d.now+redialGap)
+	d.drop(at, worst, worst.sent)
+	return true
+}
+
+// Connected tells that a connection stands.
+func (d *Desk) Connected(now Time, server uint32, conn uint64) {
+	d.now = now
+	l := d.lines[server]
+	if l == nil || l.dialing != conn {
+		d.acts = append(d.acts, Act{Server: server, Conn: conn, Close: true})
+		d.open-- // its line has left meanwhile
+		return
+	}
+	l.dialing, l.refused, l.silent = 0, 0, 0
+	old := l.cur
+	k := &link{conn: conn, out: map[uint64]*attempt{}, tests: map[uint64]Time{}, stoodAt: now, readAt: now}
+	l.links[conn], l.cur = k, k
+	if old != nil {
+		old.stale = true
+	}
+	for _, id := range sorted(l.doomed) {
+		d.push(l, k, (&wire.Message{Type: wire.Release, Session: id}).AddCause(wire.CauseGivenUp))
+	}
+	clear(l.doomed)
+	for _, id := range sorted(l.live) {
+		if a := l.live[id]; a.rungDue {
+			d.level(l, a)
+		}
+	}
+	waiting := l.waiting
+	l.waiting = nil
+	for _, a := range waiting {
+		d.write(l, a)
+	}
+	if l.probing {
+		l.probing = false
+		d.test(l)
+	}
+}
+
+// Failure is why a connection could not be had.
+type Failure uint8
+
+// Why connects fail.
+const (
+	Unanswered Failure = iota
+	Refused            // the machine answered: nobody listens there, or its process takes no more
+	Broke              // anything else, as one that stood and ended at once: it proves nothing
+)
+
+// DialFailed tells that a connection could not be had.
+func (d *Desk) DialFailed(now Time, server uint32, conn uint64, why Failure) {
+	d.now = now
+	l := d.lines[server]
+	d.open--
+	if l == nil || l.dialing != conn {
+		return
+	}
+	l.dialing = 0
+	switch why {
+	case Refused:
+		d.Stats.Refused++
+		l.refused, l.silent = l.refused+1, 0
+	case Unanswered:
+		d.Stats.Unanswered++
+		l.silent, l.refused = l.silent+1, 0
+	case Broke:
+		d.Stats.Broke++
+	}
+	l.dialAt = now + min(redialGap<<min(max(l.refused, l.silent, silences)-silences, 8), redialMost)
+	d.fail(l, fate.DialRefused)
+	if l.probing {
+		l.probing = false
+		d.news = append(d.news, front.Probed{Server: server, Status: policy.NoConnect, Took: now - l.probeAt})
+	}
+	// A server refuses connects at its limit too, and while it drains: one that is on the list and has a connection left is
+	// asked there for a word. That the connection stands proves nothing.
+	switch {
+	case l.silent >= silences, l.refused >= refusals && (l.gone || len(l.links) == 0):
+		d.dead(l)
+	case l.refused >= refusals && l.cur != nil && l.cur.checkAt == 0:
+		l.cur.checkAt = now
+		d.test(l)
+	}
+}
+
+// Lost tells that a connection ended. begun is an upper bound of the bytes handed to the kernel.
+func (d *Desk) Lost(now Time, server uint32, conn uint64, begun uint64) {
+	d.now = now
+	l := d.lines[server]
+	if l == nil {
+		return
+	}
+	if k := l.links[conn]; k != nil {
+		d.Stats.Lost++
+		d.drop(l, k, begun)
+	}
+}
+
+// drop ends a connection and what was open on it.
+func (d *Desk) drop(l *line, k *link, begun uint64) {
+	delete(l.links, k.conn)
+	d.open--
+	if l.cur == k {
+		l.cur = nil
+	}
+	d.acts = append(d.acts, Act{Server: l.server, Conn: k.conn, Close: true})
+	for _, id := range sorted(k.out) {
+		a := k.out[id]
+		switch {
+		case begun < a.end && !a.again && !l.drains && !l.gone:
+			// A server runs whole set-ups only: this one never left, and waits for the next connection, once.
+			d.Stats.Again++
+			delete(k.out, id)
+			a.again, a.link = true, nil
+			l.waiting = append(l.waiting, a)
+		case begun < a.end:
+			d.end(a, fate.Of(fate.Partly, fate.Broke, 0), nil)
+		default:
+			d.end(a, fate.Of(fate.Written, fate.Broke, 0), nil)
+		}
+	}
+	for _, id := range sorted(k.tests) {
+		d.news = append(d.news, front.Probed{Server: l.server, Status: policy.ResetConn, Took: d.now - k.tests[id]})
+	}
+	clear(k.tests)
+	if d.now-k.stoodAt < policy.Second { // connections that break at once are not opened in a loop
+		l.dialAt = max(l.dialAt, d.now+redialGap)
+	}
+	if len(l.live) > 0 && d.taken(l) { // at its address is another server, which knows nothing of them
+		for _, id := range sorted(l.live) {
+			d.end(l.live[id], policy.ResetConn, nil)
+		}
+	}
+	d.wanted(l)
+}
