A connection that only hears its server out goes first; tests without descriptors

Need: the descriptor that a half-ended connection keeps must not cost a set-up. Tests of makeRoom's first choice (fails if ending ones are not looked at first) and of a test that finds no descriptor: it is moot, the server is not held to have failed it.

--- a/internal/platform/servers/connections_test.go
+++ b/internal/platform/servers/connections_test.go
@@ -148,7 +148,21 @@
 	conn := r.up()
 	r.do(front.Setup{Session: 2, Server: 2, Name: "7f3a9c21e0b4d655", Text: "who", Within: 900 * ms})
 	r.ended(2, policy.Moot)
+	r.do(front.Probe{Server: 2}) // nor does a test: the server is not held to have failed it
+	if p, ok := r.news[len(r.news)-1].(front.Probed); !ok || p.Server != 2 || p.Status != policy.Moot || r.d.Stats.Crowded != 2 {
+		t.Errorf("%+v, %d times without", r.news, r.d.Stats.Crowded)
+	}
 	if r.closed[conn] || len(r.dials) != 0 {
 		t.Error("a set-up lost its connection")
 	}
+	r = newRig(t) // one that only hears its server out goes first
+	r.d.Limit(2)
+	old := r.plays(5)
+	r.pass(quietFor)
+	next := r.up()
+	r.pass(50 * ms)
+	r.do(front.Setup{Session: 6, Server: 2, Name: "7f3a9c21e0b4d655", Text: "who", Within: 900 * ms})
+	if !r.ending[old] || !r.closed[old] || r.closed[next] || len(r.dials) != 1 {
+		t.Errorf("closed %v, ending %v, dials %v", r.closed, r.ending, r.dials)
+	}
 }
