The platform's shell, its tests and stand-ins in files by what they do; no behaviour changed

Change: sockets, owner, names, look and configuration have a file each, tests by what they guard, stand-ins by whom they play. The program's declarations are the same, moved.

--- a/internal/platform/node/config.go
+++ b/internal/platform/node/config.go
@@ -133,3 +133,20 @@
 	}
 	return nil
 }
+
+// Limits tells the run time what it may use.
+func (c *Config) Limits() (procs int, memory int64) {
+	procs = max(int(c.Cores+0.5), 1)
+	return procs, int64(c.MemoryMB) << 20
+}
+
+// Check compares the configuration with what the environment says.
+func (c *Config) Check() error {
+	if name := os.Getenv("NODE_NAME"); name != "" && name != c.Name {
+		return fmt.Errorf("NODE_NAME is %q, the configuration is for %q", name, c.Name)
+	}
+	if addr := os.Getenv("NODE_LISTEN"); addr != "" && addr != c.Listen {
+		return fmt.Errorf("NODE_LISTEN is %q, the configuration says %q", addr, c.Listen)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/node/look.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"tealledge/internal/front"
+	"tealledge/internal/platform/journal"
+	"tealledge/internal/platform/servers"
+	"tealledge/internal/platform/viewers"
+)
+
+// A look inside, for logs and tests.
+
+// Snapshot is a look inside a front.
+type Snapshot struct {
+	front.Stats
+	Open, Held, Ready          int
+	Attempts, Lines, Links     int
+	Conns, Sessions, Recent    int
+	Owed, Hosts, Owners, Queue int
+	Pos                        uint64
+	Viewers                    viewers.Stats
+	Servers                    servers.Stats
+	Journal                    journal.Stats
+}
+
+func (n *Node) snapshot() (s Snapshot) {
+	s.Stats, s.Open, s.Held, s.Ready = n.core.Stats(), n.core.Open(), n.core.Held(), n.core.Ready()
+	s.Attempts, s.Lines, s.Links = n.servers.Counts()
+	s.Conns, s.Sessions, s.Recent, s.Owed = n.viewers.Counts()
+	s.Hosts, s.Owners, s.Pos = n.hosts.len(), len(n.owners), n.follow.Pos()
+	s.Queue, _, _ = n.queue.Stats()
+	s.Viewers, s.Servers, s.Journal = n.viewers.Stats, n.servers.Stats, n.follow.Stats
+	return s
+}
+
+func (n *Node) tell() {
+	n.log.Info().Str("state", strings.Trim(fmt.Sprintf("%+v", n.snapshot()), "{}")).Msg("state")
+}
+
+// Inspect gives a look inside; it fails if the front has left.
+func (n *Node) Inspect(ctx context.Context) (Snapshot, error) {
+	reply := make(chan Snapshot, 1)
+	n.queue.Force(inspect{reply})
+	select {
+	case s := <-reply:
+		return s, nil
+	case <-n.done:
+		return Snapshot{}, fmt.Errorf("the front has left")
+	case <-ctx.Done():
+		return Snapshot{}, ctx.Err()
+	}
+}
