--- a/internal/pipe/links_test.go
+++ b/internal/pipe/links_test.go
@@ -184,3 +184,34 @@
 	l.EndWrites(1) // of one that is gone
 	l.Close()
 }
+
+// What the system takes at once is written however late: a side that stood still for longer than a write may take keeps its
+// connections.
+func TestAWriteThatComesLateIsWritten(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	heard := make(chan int, 1)
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			n, _ := io.Copy(io.Discard, c)
+			c.Close()
+			heard <- int(n)
+		}
+	}()
+	l := NewLinks(1<<16, time.Nanosecond) // over before any write begins
+	stands := make(chan struct{})
+	l.Dial(1, dialer(ln.Addr().String()), Handler{Connected: func() { close(stands) }, Failed: func(err error) { t.Error(err) },
+		Read: func([]byte) {}, Lost: func(uint64) {}})
+	<-stands
+	for range 20 {
+		l.SendHere(1, make([]byte, 100))
+		l.Send(1, make([]byte, 100))
+	}
+	l.Close()
+	if n := <-heard; n != 4000 {
+		t.Errorf("the peer read %d of 4000 bytes", n)
+	}
+}
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -20,7 +21,8 @@
 // Pipe is the way out of one connection.
 type Pipe struct {
 	conn   Conn
-	wait   time.Duration // for a write; 0: the connection keeps it itself
+	raw    syscall.RawConn // of a connection of the standard library; nil: of netpoll's
+	wait   time.Duration   // for a write that the system does not take at once
 	most   int
 	begun  atomic.Uint64
 	mu     sync.Mutex
@@ -35,11 +37,12 @@
 // New makes a pipe that holds at most so many bytes; a write that the peer does not take within wait closes the
 // connection.
 func New(conn Conn, most int, wait time.Duration) *Pipe {
-	p := &Pipe{conn: conn, most: most}
-	if c, ok := conn.(interface{ SetWriteTimeout(time.Duration) error }); ok { // netpoll's, where deadlines of writes have no form
+	p := &Pipe{conn: conn, most: most, wait: wait}
+	switch c := conn.(type) {
+	case interface{ SetWriteTimeout(time.Duration) error }:
 		c.SetWriteTimeout(wait)
-	} else {
-		p.wait = wait
+	case syscall.Conn:
+		p.raw, _ = c.SyscallConn()
 	}
 	return p
 }
@@ -152,10 +155,7 @@
 		p.buf, p.spare = p.spare[:0], nil
 		p.begun.Add(uint64(len(b))) // under the lock: nothing is written that Begun does not count
 		p.mu.Unlock()
-		if c, ok := p.conn.(net.Conn); ok && p.wait > 0 {
-			c.SetWriteDeadline(time.Now().Add(p.wait))
-		}
-		_, err := p.conn.Write(b) // unlike its Writer, it may race with the connection's end
+		err := p.put(b)
 		p.mu.Lock()
 		if cap(b) <= spareMost {
 			p.spare = b
@@ -167,6 +167,37 @@
 	}
 }
 
+// put writes bytes, waiting for the peer only if the system takes no more of them. Danger: a deadline set before a write may
+// be over by the time that it begins, on a core that stands still for a moment; it then fails untried, and the connection is
+// lost with all that is open on it.
+func (p *Pipe) put(b []byte) error {
+	if p.raw == nil { // netpoll's writes so itself; unlike its Writer, Write may race with the connection's end
+		_, err := p.conn.Write(b)
+		return err
+	}
+	var n int
+	var err error
+	if gone := p.raw.Write(func(fd uintptr) bool {
+		n, err = syscall.Write(int(fd), b)
+		return true
+	}); gone != nil {
+		return gone
+	}
+	switch {
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		n = 0
+	case err != nil:
+		return err
+	case n == len(b):
+		return nil
+	}
+	c := p.conn.(net.Conn)
+	c.SetWriteDeadline(time.Now().Add(p.wait))
+	defer c.SetWriteDeadline(time.Time{})
+	_, err = c.Write(b[n:])
+	return err
+}
+
 // Stop ends the pipe, without closing the connection, and gives the final Begun: nothing is handed over after it.
 func (p *Pipe) Stop() uint64 {
 	p.mu.Lock()
