The test of which connection goes first fails without that choice

Seen on looking the change over: with makeRoom's first choice taken out, TestMoreServersThanDescriptors still passed, for the ending connection was also the longest quiet; what says of it was wrong. Change: the ending one is heard last. Without the choice the test fails now, with it it passes.

--- a/internal/platform/servers/connections_test.go
+++ b/internal/platform/servers/connections_test.go
@@ -161,6 +161,7 @@
 	r.pass(quietFor)
 	next := r.up()
 	r.pass(50 * ms)
+	r.says(old, &wire.Message{Type: wire.Trying, Session: 5}) // though it was heard last
 	r.do(front.Setup{Session: 6, Server: 2, Name: "7f3a9c21e0b4d655", Text: "who", Within: 900 * ms})
 	if !r.ending[old] || !r.closed[old] || r.closed[next] || len(r.dials) != 1 {
 		t.Errorf("closed %v, ending %v, dials %v", r.closed, r.ending, r.dials)
