Fleet: membership on sockets, commands over HTTP, settings of a fleet

internal/fleet/node owns sockets, disk and clock of a front's part: memberlist with key, label and names, letters by datagram or stream, commands as JSON over HTTP on this host's own address. (fleet ...) in the settings, checked whole. Not started by serve yet.

Measured: four fronts on sockets with -race: a fleet forms, a server asked for at a follower goes out and comes back, why a second one waits is told at every front, strangers of another key or name are counted and harm nobody (go test ./internal/fleet/node, 11 s).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 	Kinds   []string
 	Zones   []string
 	Titles  []Title
+	Fleet   Fleet
 	// Catalogue holds the titles in place of Titles, if Front.CatalogueDir is set: who runs the front loads it.
 	Catalogue *catalogue.Catalogue
 	byTitle   map[string]int
@@ -127,12 +128,14 @@
 		"front":   func(n *sexp.Node) { c.front(r, n) },
 		"service": func(n *sexp.Node) { c.service(r, n) },
 		"titles":  func(n *sexp.Node) { c.titles(r, n) },
+		"fleet":   func(n *sexp.Node) { c.fleet(r, n) },
 	})
 	if len(c.Titles) == 0 && c.Front.CatalogueDir == "" {
 		r.Fail(root, "file needs (titles ...), or (catalogue DIR) in front")
 	}
 	if len(r.errs) == 0 {
 		c.consistent(r, root)
+		c.Fleet.fits(c, r)
 	}
 	if len(r.errs) > 0 {
 		return nil, errors.Join(r.errs...)
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -31,6 +31,7 @@
 // Config is what a front's part is started with.
 type Config struct {
 	Me      string
+	Zone    int
 	Cluster string   // the fleet's name
 	Voters  []string // names of the fronts that vote, the same everywhere
 	Limits  upkeep.Limits
@@ -110,6 +111,8 @@
 	partSoon bool
 
 	commands map[string]*command
+	whys     map[uint64]upkeep.Answer // as the leader said last,
+	whysAt   Time                     // and when
 	out      []Effect
 	Stats    Stats
 }
@@ -285,6 +288,8 @@
 	msgPart    = 'p' // what stands where, to the leader
 	msgCommand = 'c' // an entry to be agreed on, to a voter
 	msgFetch   = 'f' // a follower tells how far it has come: raftpb.Message
+	msgWhy     = 'w' // to the leader: why do works wait?
+	msgBecause = 'b' // its answer
 	msgAgreed  = 'a' // and is sent what was agreed since: raftpb.Message, its Snapshot or its Entries
 )
 
--- a/internal/fleet/core/lead.go
+++ b/internal/fleet/core/lead.go
@@ -205,6 +205,10 @@
 		c.hearPart(from, body)
 	case msgCommand:
 		c.hearCommand(from, body)
+	case msgWhy:
+		c.asksWhy(from)
+	case msgBecause:
+		c.hearBecause(from, body)
 	case msgFetch:
 		c.fetched(from, body)
 	case msgAgreed:
--- a/internal/fleet/core/voters.go
+++ b/internal/fleet/core/voters.go
@@ -87,7 +87,7 @@
 
 // tellMeta tells all others what this front is now.
 func (c *Core) tellMeta() {
-	m := Meta{Format: ledger.Format}
+	m := Meta{Format: ledger.Format, Zone: c.cfg.Zone}
 	if v := c.voter; v != nil {
 		id := v.me
 		m.Identity, m.Formed = &id, v.formed
