Upkeep: what an ask could be alone is counted once a look, not once an ask

Seen: a simulated fleet with 350 open asks spent its time in copies of the world made for every ask (go test ./internal/fleet/fleetsim, 48 s with -race). One empty count serves all asks of a look.

--- a/decide/upkeep/upkeep.go
+++ b/decide/upkeep/upkeep.go
@@ -114,7 +114,7 @@
 
 // Decide answers every ask that is not out. Those that it lets go may all go at once.
 func Decide(now Time, l Limits, w *World, asks []Ask) []Answer {
-	t := newTally(l, w)
+	t, bare := newTally(l, w), alone(l, w)
 	for i := range asks {
 		if asks[i].Out {
 			t.add(&asks[i])
@@ -126,7 +126,7 @@
 		if a.Out {
 			continue
 		}
-		if why := never(now, l, w, &a); why.Why != "" {
+		if why := never(now, bare, w, &a); why.Why != "" {
 			why.ID, why.Verdict = a.ID, Never
 			answers = append(answers, why)
 			continue
@@ -159,7 +159,7 @@
 }
 
 // never tells why an ask can't be let go even if nothing else were out and nothing had failed, or no more in time.
-func never(now Time, l Limits, w *World, a *Ask) Answer {
+func never(now Time, bare *tally, w *World, a *Ask) Answer {
 	if len(a.Servers)+len(a.Fronts) == 0 {
 		return Answer{Limit: "machines", Why: "it names no machine"}
 	}
@@ -167,16 +167,6 @@
 		return Answer{Limit: "by", Why: fmt.Sprintf("work of %v can't end in time: it is %v too late",
 			time.Duration(a.For), time.Duration(now+a.For-a.By).Round(time.Second))}
 	}
-	whole := *w
-	whole.Servers = slices.Clone(w.Servers)
-	for i := range whole.Servers {
-		s := &whole.Servers[i]
-		s.Failed, s.Used, s.Paid = false, 0, 0
-	}
-	whole.Fronts = slices.Clone(w.Fronts)
-	for i := range whole.Fronts {
-		whole.Fronts[i].Failed = false
-	}
 	for _, id := range a.Servers {
 		if w.server(id) == nil {
 			return Answer{Limit: "machines", Why: fmt.Sprintf("no server %d is listed", id)}
@@ -187,13 +177,27 @@
 			return Answer{Limit: "machines", Why: fmt.Sprintf("no front %q was ever here", name)}
 		}
 	}
-	stop, _ := newTally(l, &whole).check(a)
+	stop, _ := bare.check(a)
 	if stop.Why != "" {
 		stop.Why = "not even alone: " + stop.Why
 	}
 	return stop
 }
 
+// alone counts nothing as out and nothing as standing.
+func alone(l Limits, w *World) *tally {
+	bare := *w
+	bare.Servers, bare.Fronts = slices.Clone(w.Servers), slices.Clone(w.Fronts)
+	for i := range bare.Servers {
+		s := &bare.Servers[i]
+		s.Failed, s.Used, s.Paid = false, 0, 0
+	}
+	for i := range bare.Fronts {
+		bare.Fronts[i].Failed = false
+	}
+	return newTally(l, &bare)
+}
+
 func (w *World) server(id uint32) *Server {
 	i, ok := slices.BinarySearchFunc(w.Servers, id, func(s Server, id uint32) int { return cmp.Compare(s.ID, id) })
 	if !ok {
