Fleet in service: serve keeps machines free that the fleet took out, and commands for it

Need: a front with (fleet ...) in its settings tells its part what stands where and is told what to keep free: such servers are drained on the module's list, its own host takes nothing new, what comes back starts at a cold server's pace. The smallest new event, policy.Vacate, has sessions moved, paced, that would outlast the time a server has; those that end by themselves stay. tealledge upkeep ask, list, show, cancel, done and tealledge fleet give the commands.

Measured: go test ./policy: without the event the same decisions, with it the pace of moves holds; nothing runs without (fleet ...).

--- a/cmd/tealledge/main.go
+++ b/cmd/tealledge/main.go
@@ -31,6 +31,8 @@
 	Explore  exploreCmd  `cmd:"" help:"Search the orders of events of a small world for a broken rule, on the code that runs."`
 	HLSLoad  hlsLoadCmd  `cmd:"" name:"hls-load" help:"Hold live HLS sessions at a front of its own and reload them."`
 	Capacity capacityCmd `cmd:"" help:"Find the rate that a front carries, then load it past that, with and without its overload decisions."`
+	Upkeep   upkeepCmd   `cmd:"" help:"Ask for machines to be out for work, see why they wait, and report them back."`
+	Fleet    fleetCmd    `cmd:"" help:"Who is here, who leads, and what is stale."`
 	Audit    auditCmd    `cmd:"" help:"Judge the records of a day."`
 }
 
@@ -90,6 +92,9 @@
 	if s.HLS() != "" {
 		fmt.Printf("hls http://%s/hls/\n", s.HLS())
 	}
+	if s.Control() != "" {
+		fmt.Printf("control %s\n", s.Control())
+	}
 	fmt.Printf("ready ws://%s/v1/sessions\n", s.Addr())
 	return s.Run(ctx)
 }
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -150,6 +150,7 @@
 	// Keeps says which servers and fronts nothing new may go to, and which are to be taken for just started, since when.
 	Keeps struct {
 		Servers  map[uint32]uint64
+		Until    map[uint32]Time // what stands there is to be gone by then
 		Fronts   map[string]uint64
 		Returned map[uint32]Time
 	}
--- a/internal/fleet/core/follow.go
+++ b/internal/fleet/core/follow.go
@@ -54,7 +54,18 @@
 			}
 		}
 	}
-	c.do(Keeps{servers, fronts, c.state.Returned()})
+	until := map[uint32]Time{}
+	for id, work := range servers {
+		switch w := c.state.Work(work); w.Phase {
+		case ledger.Granted: // draining begins by then, at the latest
+			until[id] = w.Until + c.cfg.Times.Drain
+		case ledger.Draining:
+			until[id] = w.Until
+		default:
+			until[id] = w.Since
+		}
+	}
+	c.do(Keeps{Servers: servers, Until: until, Fronts: fronts, Returned: c.state.Returned()})
 }
 
 // lapsed tells whether work must long be over by what this front knows, though it heard nothing of its end. Danger: a
--- a/internal/front/api.go
+++ b/internal/front/api.go
@@ -107,6 +107,9 @@
 // Listed brings the server list or changes to it.
 type Listed struct{ policy.List }
 
+// Vacate tells that a server is to be empty by a time.
+type Vacate struct{ policy.Vacate }
+
 // CloseAll ends all sessions: the front leaves.
 type CloseAll struct{}
 
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -129,6 +129,8 @@
 		c.feed(policy.Probed{Server: e.Server, Status: e.Status, Took: e.Took, Report: e.Report})
 	case Listed:
 		c.listed(e.List)
+	case Vacate:
+		c.feed(e.Vacate)
 	case CloseAll:
 		c.closeAll()
 	}
@@ -339,6 +341,15 @@
 	}
 }
 
+// Standing calls fn for each session that plays or is being set up, with what it is served.
+func (c *Core) Standing(fn func(server uint32, class, rung int)) {
+	for _, s := range c.sessions {
+		if s.playing || s.out {
+			fn(s.server, s.ask.Class, s.rung)
+		}
+	}
+}
+
 // Known tells whether an id is in use: by a session, or by a set-up that is still being taken back.
 func (c *Core) Known(id uint64) bool { return c.sessions[id] != nil }
 
--- a/internal/serve/list.go
+++ b/internal/serve/list.go
@@ -56,6 +56,7 @@
 
 func (s *Server) believe(kind policy.ListKind, list []serverlist.Entry, now front.Time) {
 	now = max(now, s.now())
+	s.fleet.kind, s.fleet.list = kind, list
 	var servers []exchange.Server
 	var entries []policy.Entry
 	ready := 0
@@ -63,8 +64,9 @@
 	for _, e := range list {
 		s.https[e.Server] = e.HTTP
 		servers = append(servers, exchange.Server{ID: e.Server, Addr: e.Addr, Paths: e.Paths, Started: e.Started})
-		entries = append(entries, e.Entry)
-		if e.Health == policy.Ready {
+		told := s.overlay(e.Entry, now)
+		entries = append(entries, told)
+		if told.Health == policy.Ready {
 			ready++
 		}
 	}
@@ -73,6 +75,8 @@
 	s.step(now, front.Listed{List: policy.List{Kind: kind, Entries: entries}})
 	s.desk.Listed(now, servers)
 	s.settle(nil)
+	s.vacate(now)
+	s.tellServers()
 	s.keep.takeUp(now)
 }
 
@@ -82,6 +86,12 @@
 		return
 	}
 	s.log.Info().Uint32("server", server).Msg("server says that it drains")
+	for i := range s.fleet.list { // which is believed again when the fleet agrees on something
+		if s.fleet.list[i].Server == server {
+			s.fleet.list[i].Health = max(s.fleet.list[i].Health, e.Health)
+		}
+	}
+	e = s.overlay(e, now)
 	for _, effect := range s.core.Step(now, front.Listed{List: policy.List{Kind: policy.ListDelta, Entries: []policy.Entry{e}}}) {
 		s.effect(effect)
 	}
--- a/internal/serve/owner.go
+++ b/internal/serve/owner.go
@@ -41,6 +41,7 @@
 			deskAt = now + front.Time(deskEvery)
 			s.desk.Tick(now)
 			s.keep.tick(now)
+			s.tellFleet(now)
 			s.settle(nil)
 		}
 		if s.leaving && !s.closing {
@@ -123,6 +124,8 @@
 		s.keep.stored(now, e)
 	case listAnswer:
 		s.listed(now, e)
+	case keeps:
+		s.keepFree(now, e.Keeps)
 	case leave:
 		s.leaving = true
 	case inspect:
@@ -142,7 +145,7 @@
 		return
 	}
 	s.handles++
-	e.ask.Player, e.ask.Draining, *e.call.Ref() = s.handles, s.leaving, s.handles
+	e.ask.Player, e.ask.Draining, *e.call.Ref() = s.handles, s.leaving || s.rests(), s.handles
 	s.calls[s.handles] = e.call
 	before := s.core.Stats().Taken
 	effects := s.core.Step(now, e.ask)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -64,7 +64,8 @@
 	keptTitles uint64       // version
 	waiting    atomic.Int64 // events, when the owner looked last
 	waitedFor  atomic.Int64 // nanoseconds that the owner's last round took: how long an event may have waited
-	doubt      bool         // the last answer of the list was not believed; told once
+	fleet      fleet
+	doubt      bool // the last answer of the list was not believed; told once
 
 	leaving  bool
 	closing  bool
@@ -131,11 +132,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.hub, err = players.New(cfg, owner{s}); err != nil || cfg.Front.HLSListen == "" {
+	if s.hub, err = players.New(cfg, owner{s}); err != nil {
 		return s, err
 	}
-	s.hls, err = manifest.New(cfg, hlsOwner{s})
-	return s, err
+	if cfg.Front.HLSListen != "" {
+		if s.hls, err = manifest.New(cfg, hlsOwner{s}); err != nil {
+			return s, err
+		}
+	}
+	return s, s.startFleet()
 }
 
 // HLS is where HLS players connect, "" if they are not served.
@@ -195,6 +200,9 @@
 	}
 	s.queue.Force(leave{})
 	<-s.finished
+	if s.fleet.node != nil {
+		s.fleet.node.Close()
+	}
 	s.cancel()
 	end, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
--- a/policy/api.go
+++ b/policy/api.go
@@ -270,3 +270,10 @@
 
 // Log puts a line in the operators' log.
 type Log struct{ Text string }
+
+// Vacate tells that a server is to be empty by a time: its sessions that would last longer are moved, paced, as others have
+// room. Until 0 takes that back. That nothing new goes there is the list's word (Draining).
+type Vacate struct {
+	Server uint32
+	Until  Time
+}
--- a/policy/playing.go
+++ b/policy/playing.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// empty moves sessions off a server that is to be empty by a time, paced, each to the best holder with room. Those
+// that are known to end before are left: a move costs, and takes room elsewhere. Harm: of those that last longer some
+// lose a moment.
+func (f *Front) empty(v *server) {
+	for _, s := range v.held {
+		if f.moves.fill(f.now, movesPerS, movesBurst) < 1 {
+			return
+		}
+		if !s.playing || s.moved || s.left || s.Hinted && f.now+f.left(s) <= v.vacate {
+			continue
+		}
+		for _, o := range f.candidates(s) {
+			link, uplink := f.room(o, mark)
+			if o != v && !f.open(o, s) && f.highest(s, o, link, uplink, 0, 0) >= 0 {
+				f.moves.tokens--
+				f.move(s, pastMost)
+				break
+			}
+		}
+	}
+}
+
 // left is how long a session is expected to last yet.
 func (f *Front) left(s *session) Time {
 	switch {
@@ -156,6 +178,11 @@
 	f.do(Timer{tokenTick, tick})
 	f.ticks++
 	f.retryHeld(false)
+	for _, v := range f.fleet.hosts {
+		if v.vacate > 0 {
+			f.empty(v)
+		}
+	}
 	if f.ticks%int(Second/tick) == 0 {
 		for _, v := range f.fleet.hosts {
 			f.raise(v)
--- a/policy/records.go
+++ b/policy/records.go
@@ -102,6 +102,7 @@
 	failed    bool     // seen failing, and no success since
 	coldUntil Time     // paced until then
 	pace      bucket
+	vacate    Time // it is to be empty by then; 0: it is not
 
 	raisedOn Time // report that the last look for lasting spare rested on
 	shortAt  Time // last short note
--- a/policy/state.go
+++ b/policy/state.go
@@ -287,6 +287,10 @@
 		f.gone(e.ID)
 	case Probed:
 		f.probed(e)
+	case Vacate:
+		if v := f.fleet.get(e.Server); v != nil {
+			v.vacate = e.Until
+		}
 	case Alarm:
 		switch e.Token {
 		case tokenTick:
