The fleet's rig: fronts as processes, relays between them, faults, and four new rules judged

Need: the fleet's promises shown on real processes. internal/rig joins every ordered pair of fronts by a relay (TCP and UDP: cut, one way, stall, reset, loss, delay), kills, stops and restarts them with their disk, with none, with an old copy; somebody works on the machines that are let go. internal/audit judges by the stand-ins' records: never more out than agreed, nothing new at a machine that is out, no session lost that could have moved, every ask ends; porcupine checks the commands' history.

Found by it and mended: a server with a critical check was not counted as out beside others' work (serve left it off the list it told); a second voter's word was never asked for again once a first let this one speak, so a fleet might never form.

--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -30,9 +30,10 @@
 	Dir       string   // keeps settings, states and records
 	Baseline  string   // "": the decision module
 	Out       io.Writer
-	Env       []string // more for the fronts' environment
-	Limits    string   // a (limits ...) form for the fronts
-	NoRecord  bool     // for measuring only: nothing is written down, nothing can be judged
+	Env       []string               // more for the fronts' environment
+	Limits    string                 // a (limits ...) form for the fronts
+	Extra     func(front int) string // more forms for a front's settings
+	NoRecord  bool                   // for measuring only: nothing is written down, nothing can be judged
 }
 
 // world is a day under way.
@@ -52,14 +53,15 @@
 
 // process is one front.
 type process struct {
-	w      *world
-	name   string
-	me     int
-	addr   string
-	hls    string
-	cmd    *exec.Cmd
-	exited chan struct{}
-	log    *os.File
+	w       *world
+	name    string
+	me      int
+	addr    string
+	hls     string
+	control string // where it takes commands for its fleet
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	log     *os.File
 }
 
 // Run plays a day and judges it.
@@ -263,8 +265,8 @@
 	if len(w.s.Service.Kinds) > 0 {
 		kind = w.s.Service.Kinds[0]
 	}
-	if len(w.s.Service.Zones) > 0 {
-		zone = w.s.Service.Zones[0]
+	if n := len(w.s.Service.Zones); n > 0 { // racks take turns
+		zone = w.s.Service.Zones[m.Cell%max(w.s.Service.Service.Racks, 1)%n]
 	}
 	return listsim.Server{ID: m.ID, Addr: m.Addr(), Cell: m.Cell, Zone: zone, Kind: kind, Size: 1, Started: m.Started(), Health: health, More: m.Addrs()[1:],
 		HTTP: m.HTTPAddr()}
@@ -300,6 +302,9 @@
 	if p.w.o.Limits != "" {
 		text = strings.Replace(text, "(front ", "(front "+p.w.o.Limits+" ", 1)
 	}
+	if p.w.o.Extra != nil {
+		text += p.w.o.Extra(p.me)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return err
 	}
@@ -330,6 +335,11 @@
 				p.hls = addr
 				p.w.mu.Unlock()
 			}
+			if addr, ok := strings.CutPrefix(lines.Text(), "control "); ok {
+				p.w.mu.Lock()
+				p.control = addr
+				p.w.mu.Unlock()
+			}
 			if addr, ok := strings.CutPrefix(lines.Text(), "ready ws://"); ok {
 				addr, _, _ = strings.Cut(addr, "/")
 				ready <- addr
--- a/internal/fleet/core/voters.go
+++ b/internal/fleet/core/voters.go
@@ -138,7 +138,7 @@
 	if v.broken {
 		return
 	}
-	if v.node.Silent() && c.now-v.askAt >= askEvery {
+	if (v.node.Silent() || !v.formed) && c.now-v.askAt >= askEvery { // the first record needs the word of all
 		v.askAt = c.now
 		for _, name := range c.others() {
 			if !v.asked[name] {
--- a/internal/fleet/node/members.go
+++ b/internal/fleet/node/members.go
@@ -49,7 +49,7 @@
 const (
 	packetMost  = 1200 // bytes of a letter that goes in one datagram
 	sendsMost   = 64   // large letters that wait for one receiver
-	joinEvery   = 5 * time.Second
+	joinEvery   = 2 * time.Second
 	streamWait  = 2 * time.Second
 	metaWait    = 5 * time.Second
 	saidAgain   = 10 * time.Minute // the same complaint is told once in so long
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -40,6 +40,14 @@
 	Manifest = "manifest" // a media playlist was read: Call names its address, Value its sequence, Length its discontinuity sequence; Text: why it is none
 	Left     = "left"     // the player closed the connection or took the request back
 	Broken   = "broken"   // the connection was lost
+	// Of whoever works on machines, and of the relays between fronts.
+	WorkAsked   = "asked"   // work was asked for; Call is the command's key, Text the machines
+	WorkEnded   = "ended"   // it came to an end; Call is its number, Text how and why
+	TakenOut    = "out"     // a server was let go for work Call: it is whoever works on it's now
+	BroughtBack = "back"    // it was brought up again
+	Deaf        = "deaf"    // a front was cut off from the others: it can't know what they agree on
+	Heard       = "heard"   // it no longer is
+	Sure        = "settled" // all is quiet: works are expected to have ended
 	// Of the day.
 	Rules    = "rules"    // the settings that the rules go by, in Text as JSON
 	FrontUp  = "frontup"  // a front's process was started
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,329 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tealledge/internal/config"
+	"tealledge/internal/day"
+	"tealledge/internal/fleet/ledger"
+	"tealledge/internal/load"
+	"tealledge/internal/serve"
+)
+
+// TestMain serves as a front when asked to: the rig starts its fronts as processes.
+func TestMain(m *testing.M) {
+	if os.Getenv("AS_FRONT") == "" {
+		os.Exit(m.Run())
+	}
+	cfg, err := config.Load(os.Args[len(os.Args)-1])
+	var s *serve.Server
+	if err == nil {
+		s, err = serve.New(cfg, zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Logger())
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	fmt.Printf("control %s\nready ws://%s/v1/sessions\n", s.Control(), s.Addr())
+	if err := s.Run(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+const site = `(day (seed 5) (fronts 5) (servers 12) (titles 24) (copies 6) (media (slots 400) (link-kb 90000) (uplink-kb 400000)
+  (setup 1ms) (keep 500ms)))
+(service
+  (ladder (rung 200 0.25) (rung 400 0.6) (rung 800 1))
+  (classes (class "safe" (aim 1s) (deadline 3s) (worth 2)) (class "paid" (aim 1s) (deadline 2s) (effect paid) (seats 60)))
+  (kinds (kind "std" (slots 400))) (zones "z1" "z2" "z3") (zone "z1")
+  (cells 12) (racks 6) (weight-kb 90000) (rack-kb 400000) (fleet-kb 1080000)
+  (reports link uplink) (reports-inline yes) (may-probe yes) (notes-late 200ms) (tell-every 1s)
+  (stall-cost 8) (change-cost 0.5) (max-attempts 4) (retry-after-most 500ms) (connect-wait 250ms) (drain-grace 250ms)
+  (price-move 0.02) (cold (span 2s) (from 0.4) (times 3) (over 1s)) (budget (spare 50) (ratio 1) (span 10s)))`
+
+func open(t *testing.T) (*Rig, context.Context) {
+	t.Helper()
+	s, err := day.Parse("rig", site)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	t.Cleanup(cancel)
+	r, err := Open(ctx, s, day.Options{Command: []string{os.Args[0], "-test.run=^$"}, Dir: t.TempDir(), Out: os.Stderr, Env: []string{"AS_FRONT=1"}}, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r, ctx
+}
+
+// holds waits for something.
+func holds(t *testing.T, r *Rig, what string, most time.Duration, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	for i := range 5 {
+		lines := strings.Split(r.LogOf(i), "\n")
+		t.Logf("front-%d: %s", i, strings.Join(lines[max(0, len(lines)-12):], "\n"))
+	}
+	t.Fatalf("not within %v: %s", most, what)
+}
+
+// whole waits until one leads and all are here and know what is new.
+func whole(t *testing.T, r *Rig, ctx context.Context) int {
+	t.Helper()
+	lead := -1
+	holds(t, r, "a fleet of five that all see", 45*time.Second, func() bool {
+		if lead = r.Leader(ctx); lead < 0 {
+			return false
+		}
+		for i := range 5 {
+			s, err := r.Status(ctx, i)
+			here := 0
+			for _, h := range s.Here {
+				if h.Here {
+					here++
+				}
+			}
+			if err != nil || !s.Fresh || s.Silent || here != 5 {
+				return false
+			}
+		}
+		return true
+	})
+	return lead
+}
+
+func phase(r *Rig, ctx context.Context, front int, id uint64) (p ledger.Phase) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	l, err := r.Works(ctx, front)
+	for _, w := range l.Works {
+		if err == nil && w.ID == id {
+			p = w.Phase
+		}
+	}
+	return p
+}
+
+func ask(t *testing.T, r *Rig, ctx context.Context, front int, key string, servers ...uint32) uint64 {
+	t.Helper()
+	for range 6 { // the same key: at most one work, however often it is asked
+		a, err := r.Ask(ctx, front, key, servers...)
+		if err == nil && a.Err == "" {
+			return a.ID
+		}
+	}
+	t.Fatalf("ask %s is not answered", key)
+	return 0
+}
+
+func reaches(t *testing.T, r *Rig, ctx context.Context, front int, id uint64, want ...ledger.Phase) {
+	t.Helper()
+	holds(t, r, fmt.Sprintf("work %d %v", id, want), 60*time.Second, func() bool {
+		p := phase(r, ctx, front, id)
+		for _, w := range want {
+			if p == w {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// trial is five fronts as processes, three of them voters, under load.
+type trial struct {
+	*Rig
+	t      *testing.T
+	ctx    context.Context
+	lead   int
+	began  time.Time
+	enough func()
+	loaded chan struct{}
+}
+
+func begin(t *testing.T) *trial {
+	r, ctx := open(t)
+	x := &trial{Rig: r, t: t, ctx: ctx, began: time.Now(), loaded: make(chan struct{})}
+	x.lead = whole(t, r, ctx)
+	crowd, enough := context.WithCancel(ctx)
+	x.enough = enough
+	go func() {
+		defer close(x.loaded)
+		plan := load.Plan{Front: r.Front, Clients: 30, Rate: 25, Length: 3 * time.Minute, Shape: load.Poisson, Hold: [2]time.Duration{500 * time.Millisecond, 4 * time.Second},
+			Titles: r.Titles(), Classes: []string{"safe", "paid"}, Seed: 1, Reconnect: 200 * time.Millisecond}
+		if _, err := load.Run(crowd, plan, r.Record()); err != nil && crowd.Err() == nil {
+			t.Error(err)
+		}
+	}()
+	return x
+}
+
+// step plays a case, which leaves a whole fleet behind.
+func (x *trial) step(name string, f func()) {
+	f()
+	x.lead = whole(x.t, x.Rig, x.ctx)
+	x.t.Logf("%s: %.1f s", name, time.Since(x.began).Seconds())
+}
+
+// second is a voter that does not lead.
+func (x *trial) second() int { return (x.lead + 1) % 3 }
+
+// judge ends the trial; what crossed the stand-ins' sockets is judged.
+func (x *trial) judge(outs int) {
+	t, r := x.t, x.Rig
+	x.enough()
+	<-x.loaded
+	r.AllSeen(x.ctx)
+	u := Limits
+	u.Cells, u.Racks, u.Zones = r.Cells()
+	report, err := r.Judge(x.ctx, u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if report.Checked["9 never more out than agreed"] < outs || report.Replies["plays"] < 200 {
+		t.Errorf("too little was judged: %v, replies %v", report.Checked, report.Replies)
+	}
+	if !Linearizable(r.Calls(), 20*time.Second) {
+		t.Errorf("no order of these commands explains their answers: %+v", r.Calls())
+	}
+	t.Logf("%.0f s, checked %v, replies %v, %d commands", time.Since(x.began).Seconds(), report.Checked, report.Replies, len(r.Calls()))
+}
+
+// Faults of processes, and of disks.
+func TestFrontsThatDieAndComeBack(t *testing.T) {
+	t.Parallel()
+	x := begin(t)
+	r, ctx := x.Rig, x.ctx
+	x.step("nothing wrong", func() {
+		a := ask(t, r, ctx, 4, "plain", 1)
+		reaches(t, r, ctx, 3, a, ledger.Done)
+	})
+	x.step("leader killed between a grant and its telling", func() {
+		a := ask(t, r, ctx, 4, "killed", 2)
+		reaches(t, r, ctx, x.lead, a, ledger.Granted, ledger.Draining, ledger.Out)
+		r.Down(x.lead)
+		b := ask(t, r, ctx, 3, "killed-2", 8) // the rack of 2
+		reaches(t, r, ctx, 3, a, ledger.Done)
+		reaches(t, r, ctx, 3, b, ledger.Done)
+		if err := r.Up(x.lead); err != nil {
+			t.Fatal(err)
+		}
+	})
+	x.step("leader stopped and continued in the belief that it leads", func() {
+		a := ask(t, r, ctx, 4, "stopped", 3)
+		r.Freeze(x.lead)
+		b := ask(t, r, ctx, 4, "stopped-2", 9)
+		time.Sleep(6 * time.Second)
+		r.Thaw(x.lead)
+		reaches(t, r, ctx, 3, a, ledger.Done)
+		reaches(t, r, ctx, 3, b, ledger.Done)
+	})
+	x.step("a disk lost, then one put back", func() {
+		v := x.second()
+		r.Down(v)
+		old := t.TempDir()
+		if err := r.Copy(v, old); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Wipe(v); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Up(v); err != nil {
+			t.Fatal(err)
+		}
+		whole(t, r, ctx)
+		a := ask(t, r, ctx, 4, "wiped", 10)
+		reaches(t, r, ctx, v, a, ledger.Done)
+		r.Down(v)
+		if err := r.PutBack(v, old); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Up(v); err != nil {
+			t.Fatal(err)
+		}
+		x.lead = whole(t, r, ctx)
+		b := ask(t, r, ctx, 4, "put back", 12)
+		reaches(t, r, ctx, v, b, ledger.Done)
+	})
+	x.judge(7)
+}
+
+// Faults of links and machines, and a restart of all.
+func TestLinksAndMachinesThatFail(t *testing.T) {
+	t.Parallel()
+	x := begin(t)
+	r, ctx := x.Rig, x.ctx
+	x.step("a voter that hears and is not heard", func() {
+		r.Mute(x.second())
+		a := ask(t, r, ctx, 4, "mute", 4)
+		reaches(t, r, ctx, 3, a, ledger.Done)
+		r.Heal()
+	})
+	x.step("split two to three, asked at both sides, healed while a machine is out", func() {
+		r.Hold = 8 * time.Second
+		a := ask(t, r, ctx, 4, "split", 5)
+		reaches(t, r, ctx, 4, a, ledger.Out)
+		r.Split(x.lead, 4)
+		if y, err := r.Ask(ctx, 4, "minority", 11); err == nil && y.Err == "" && phase(r, ctx, 4, y.ID) != ledger.Asked {
+			t.Errorf("the smaller side agreed: %+v", y)
+		}
+		b := ask(t, r, ctx, 3, "majority", 6)
+		r.Heal()
+		r.Hold = 1500 * time.Millisecond
+		reaches(t, r, ctx, 3, a, ledger.Done)
+		reaches(t, r, ctx, 3, b, ledger.Done)
+		reaches(t, r, ctx, 3, ask(t, r, ctx, 4, "minority", 11), ledger.Done)
+	})
+	x.step("a machine fails while another is out", func() {
+		m := r.Servers()[6] // 7, the rack of 1
+		m.Kill()
+		r.World.List(m, "removed")
+		time.Sleep(time.Second)
+		a := ask(t, r, ctx, 4, "beside a failed one", 1)
+		time.Sleep(3 * time.Second)
+		if p := phase(r, ctx, x.lead, a); p != ledger.Asked {
+			t.Errorf("%s beside a failed one of its rack", p)
+		}
+		if err := m.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		r.World.List(m, "ready")
+		reaches(t, r, ctx, 3, a, ledger.Done)
+	})
+	x.step("all fronts restarted while a machine is out, a stalled link meanwhile", func() {
+		r.Hold = 6 * time.Second
+		a := ask(t, r, ctx, 4, "restart", 2)
+		reaches(t, r, ctx, 4, a, ledger.Out)
+		r.Net.Between([]int{0}, []int{1}, Fault{Stall: true})
+		for i := range 5 {
+			r.Down(i)
+		}
+		for i := range 5 {
+			if err := r.Up(i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r.Heal()
+		r.Hold = 1500 * time.Millisecond
+		reaches(t, r, ctx, 3, a, ledger.Done)
+	})
+	x.judge(6)
+}
--- a/internal/serve/fleet.go
+++ b/internal/serve/fleet.go
@@ -121,9 +121,7 @@
 	}
 	var list []core.Server
 	for _, e := range s.fleet.list {
-		if e.Health == policy.Removed {
-			continue
-		}
+		// Removed is one with a critical check: it failed, and counts as out. One that left the list is no machine any more.
 		list = append(list, core.Server{ID: e.Server, Rack: s.rack(e.Entry), Zone: e.Zone, KB: e.Size * s.cfg.Service.WeightKB, Ready: e.Health == policy.Ready})
 	}
 	slices.SortFunc(list, func(a, b core.Server) int { return int(int64(a.ID) - int64(b.ID)) })
@@ -162,7 +160,7 @@
 		seen[key] = true
 		var g []uint32
 		for _, e := range list {
-			if e.Health != policy.Removed && ((e.Cell-t.Home)%cells+cells)%cells < t.Copies {
+			if ((e.Cell-t.Home)%cells+cells)%cells < t.Copies {
 				g = append(g, e.Server)
 			}
 		}
