A new front believes a complete list about starts; an answer no line can carry is an error

The list tells every start; one that is complete and not an old copy is believed now. Ruled out: the restarts, servers that err, descriptors (see docs/design/platform.md).

With it 12 sessions in a row went to a server whose descriptions no viewer's line can carry: such an answer passed for a session that stood, and spoke for its server. It is an error of the attempt now (internal/platform/servers, answered), so safe requests are tried elsewhere.

--- a/internal/platform/servers/heard.go
+++ b/internal/platform/servers/heard.go
@@ -98,6 +98,12 @@
 		return unreadable("an answer without a description")
 	}
 	delete(k.out, m.Session)
+	if !carried(m.Session, string(text)) {
+		// Danger: taken for a session that stands, it fails its viewer and speaks for its server: the next goes there too.
+		d.release(l, m.Session)
+		d.end(a, policy.Errored, d.report(m))
+		return nil
+	}
 	a.playing = true
 	l.live[m.Session] = a
 	a.setup.Text = ""
@@ -106,6 +112,16 @@
 	return nil
 }
 
+// carried tells whether a line to a viewer can carry a description.
+func carried(sid uint64, text string) bool {
+	const grows = 8 // bytes of a line for one of a description, at most
+	if len(text) < wire.MaxMessage/grows {
+		return true
+	}
+	_, err := (&wire.Line{Msg: wire.LineReady, Sid: sid, Text: text}).Append(nil)
+	return err == nil
+}
+
 func (d *Desk) released(l *line, k *link, m *wire.Message) {
 	delete(l.leaving, m.Session)
 	delete(l.doomed, m.Session)
--- a/policy/health.go
+++ b/policy/health.go
@@ -37,12 +37,12 @@
 	return v.failed && (f.class(s).Paid || v.trial != nil)
 }
 
-// paced tells whether a server may be cold for all this front knows: it failed, it was told started, or
-// this front is itself new and has no report that the server carries others' sessions, as one just
-// started would not. Harm: a new front is slow to fill idle servers.
+// paced tells whether a server may be cold for all this front knows: it failed, it was told started, or this
+// front is itself new, was given no complete list that tells the starts, and has no report that the server
+// carries others' sessions, as one just started would not. Harm: such a front is slow to fill idle servers.
 func (f *Front) paced(v *server) bool {
 	carries := v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2)
-	unknown := f.now-f.born < f.set.ColdSpan && !carries
+	unknown := f.now-f.born < f.set.ColdSpan && !carries && !f.starts
 	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,6 +83,7 @@
 		f.do(Timer{tokenAsk, askAgain}) // an old list is better than none, but not for long
 		return
 	}
+	f.starts = f.starts || l.Kind == ListFull
 	if l.Kind != ListDelta {
 		for _, v := range f.fleet.order {
 			v.listed = false
--- a/policy/state.go
+++ b/policy/state.go
@@ -25,6 +25,7 @@
 	taken   tally
 	extra   tally
 	ticks   int
+	starts  bool // a complete list, not an old one, has told when servers started
 
 	mean, meanUp      float64 // average use by other fronts' sessions, from reports: of links, of uplinks
 	typical, typicalN float64 // mean worth of a session, and over how many
