--- /dev/null
+++ b/internal/fleet/core/core_test.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"testing"
+
+	"go.etcd.io/raft/v3"
+
+	"tealledge/internal/fleet/ledger"
+)
+
+type quiet struct{ raft.Logger }
+
+func (quiet) Debugf(string, ...any)   {}
+func (quiet) Infof(string, ...any)    {}
+func (quiet) Warningf(string, ...any) {}
+func (quiet) Errorf(string, ...any)   {}
+func (quiet) Info(...any)             {}
+func (quiet) Panicf(f string, a ...any) {
+	panic(f)
+}
+
+func alone(t testing.TB, me string) *Core {
+	t.Helper()
+	n := uint64(0)
+	c, err := New(1, Config{Me: me, Cluster: "t", Voters: []string{"a", "b", "c"}, Draw: func() uint64 { n++; return n }, Log: quiet{}}, Start{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Members(2, []Member{{Name: "b", Alive: true}, {Name: "c", Alive: true}, {Name: "x", Alive: true}})
+	c.Tick(3)
+	c.Take()
+	return c
+}
+
+// Whatever a member sends, nobody falls over; what can't be used is counted and changes nothing that is agreed.
+func FuzzMessage(f *testing.F) {
+	for _, kind := range []byte{msgRaft, msgLife, msgKnown, msgPart, msgCommand, msgFetch, msgAgreed, msgWhy, msgBecause, 'z'} {
+		f.Add("b", append([]byte{kind}, `{"i":{"id":1},"l":1,"n":1,"s":{"1":{"Sessions":-1}}}`...))
+		f.Add("x", []byte{kind, 8, 3, 16, 1, 24, 2, 32, 9, 48, 200, 1})
+	}
+	f.Fuzz(func(t *testing.T, from string, b []byte) {
+		for _, me := range []string{"a", "x"} {
+			c := alone(t, me)
+			c.Message(4, from, b)
+			c.Tick(int64(second))
+			c.Take()
+			if len(c.State().Works) > 0 && (me == "a" || from != "b") {
+				t.Fatal("one letter made a work")
+			}
+		}
+	})
+}
+
+// A front that does not vote may ask, cancel and report; to grant is the leader's, whoever says otherwise.
+func TestACommandThatIsNotForOperators(t *testing.T) {
+	c := alone(t, "a")
+	for _, kind := range []ledger.Kind{ledger.KindGrant, ledger.KindAdvance, ledger.KindRefuse} {
+		b, _ := ledger.Entry{Kind: kind, ID: 3, Key: "k"}.Encode()
+		c.Message(5, "x", append([]byte{msgCommand}, b...))
+	}
+	if c.Stats.Strangers != 3 {
+		t.Fatalf("%+v", c.Stats)
+	}
+}
--- a/internal/fleet/fleetsim/fleetsim_test.go
+++ b/internal/fleet/fleetsim/fleetsim_test.go
@@ -317,3 +317,26 @@
 	}
 	f.good(t)
 }
+
+// A newer version's entry is agreed on in a fleet half upgraded: fronts that don't know it carry on what is out, take asks,
+// and let nobody else go; nobody falls over, and all come to the same.
+func TestAFleetHalfUpgraded(t *testing.T) {
+	f := small(t, 9)
+	a := f.answer(t, f.Ask(f.Fronts[4], work("a", 1))).ID
+	f.wants(t, a, ledger.Out, 20*Second)
+	f.Ask(f.Fronts[3], ledger.Entry{V: ledger.Format + 1, Kind: "future", Key: "z"})
+	f.Run(5 * Second)
+	b := f.answer(t, f.Ask(f.Fronts[4], work("b", 12))).ID
+	f.answer(t, f.Ask(f.Fronts[4], ledger.Entry{Kind: ledger.KindDone, Key: "d", ID: a}))
+	f.wants(t, a, ledger.Done, 20*Second)
+	f.Run(5 * Second)
+	if why, _ := f.Leader().Core.Why(b); f.phase(b) != ledger.Asked || why.Limit != "held" {
+		t.Errorf("%s, %+v", f.phase(b), why)
+	}
+	for _, x := range f.Fronts {
+		if x.Core.State().Newer != 1 {
+			t.Errorf("%s did not notice", x.Name)
+		}
+	}
+	f.good(t)
+}
