Fleet: fronts remember the format of an entry that they did not know, not how often

Seen: a newer front's command is given again until it is known to be agreed on, so an older fleet counted five entries where one was meant, and would have held for ever after its upgrade. The format is kept and compared with the program's own. The test of the commit before, which expected one, holds now.

--- a/cmd/tealledge/fleet.go
+++ b/cmd/tealledge/fleet.go
@@ -242,7 +242,7 @@
 		fmt.Println("this voter does not take part yet: too few others have told it that its disk is the newest")
 	}
 	if s.Newer > 0 {
-		fmt.Printf("%d entries are of a newer version than this front's: it grants nothing\n", s.Newer)
+		fmt.Printf("entries were agreed on in format %d, which this front does not know: it grants nothing\n", s.Newer)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "FRONT\tHERE\tVOTES\tZONE\tLIFE")
--- a/internal/fleet/core/names.go
+++ b/internal/fleet/core/names.go
@@ -139,8 +139,8 @@
 	Broken  bool   `json:"broken"`
 	Voters  int    `json:"voters"` // by the record
 	Here    []Here `json:"here"`
-	Open    int    `json:"open"` // works that have not ended
-	Newer   uint64 `json:"newer"`
+	Open    int    `json:"open"`  // works that have not ended
+	Newer   int    `json:"newer"` // the newest format of an entry that was not understood
 	Stats   Stats  `json:"stats"`
 }
 
--- a/internal/fleet/core/parts.go
+++ b/internal/fleet/core/parts.go
@@ -194,8 +194,8 @@
 
 // held tells why nothing may be granted at all.
 func (c *Core) held() string {
-	if c.state.Newer > 0 {
-		return fmt.Sprintf("%d agreed entries are of a newer version than this front's", c.state.Newer)
+	if c.state.Newer > ledger.Format {
+		return fmt.Sprintf("entries were agreed on in format %d, this front knows %d", c.state.Newer, ledger.Format)
 	}
 	oldest := Time(0)
 	for _, w := range c.state.Works {
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -2,9 +2,10 @@
 // entries in the same order. It is pure: entries in, changes out; its only clock is the time that entries carry, which
 // never steps back. It may import decide packages only. How entries come to be agreed is internal/fleet/quorum's job.
 //
-// Entries and snapshots are JSON with the number of their format. A front that meets an entry newer than it knows skips
-// it, counts it, and from then on knows that its picture is partial: it carries out what it understands and lets nobody
-// else go out for work.
+// Entries and snapshots are JSON with the number of their format. A front that meets an entry newer than it knows skips it, and
+// from then on knows that its picture is partial: it carries out what it understands and lets nobody else go out for work. So
+// that this stays rare, a version that brings new kinds is to propose them only once every front that is here tells its
+// format.
 package ledger
 
 import (
@@ -134,7 +135,7 @@
 	Index   uint64            `json:"index"`   // of the last entry applied
 	Now     Time              `json:"now"`
 	Granted uint64            `json:"granted"` // index of the last grant
-	Newer   uint64            `json:"newer"`   // entries that were not understood
+	Newer   int               `json:"newer"`   // the newest format of an entry that was not understood; 0: all were
 	Spoilt  uint64            `json:"spoilt"`  // entries that could not be read
 	Works   []*Work           `json:"works"`   // by ID
 	Keys    map[string]Answer `json:"keys"`
@@ -168,7 +169,7 @@
 		return e, false, fmt.Errorf("entry: %w", err)
 	}
 	if head.V > Format {
-		return e, true, nil
+		return Entry{V: head.V}, true, nil
 	}
 	if err := json.Unmarshal(b, &e); err != nil {
 		return e, false, fmt.Errorf("entry: %w", err)
@@ -191,7 +192,7 @@
 	e, newer, err := Decode(data)
 	switch {
 	case newer:
-		s.Newer++
+		s.Newer = max(s.Newer, e.V)
 		return nil
 	case err != nil:
 		s.Spoilt++
