--- a/internal/fleet/core/core_test.go
+++ b/internal/fleet/core/core_test.go
@@ -62,3 +62,20 @@
 		t.Fatalf("%+v", c.Stats)
 	}
 }
+
+func TestMachinesByName(t *testing.T) {
+	c := alone(t, "a")
+	c.Servers(4, []Server{{ID: 1, Rack: 0}, {ID: 2, Rack: 1, Zone: 1}, {ID: 3, Rack: 1, Zone: 1}}, nil)
+	a, err := c.Resolve([]string{"3", "rack:1", "front:x", "server:1"})
+	if err != nil || len(a.Servers) != 3 || a.Servers[0] != (ledger.Place{Server: 1}) || len(a.Fronts) != 1 {
+		t.Fatalf("%+v %v", a, err)
+	}
+	for _, name := range []string{"server:9", "rack:7", "front:nobody", "shelf:1", "server:x", "-1", ""} {
+		if a, err := c.Resolve([]string{name}); err == nil {
+			t.Errorf("%q is %+v", name, a)
+		}
+	}
+	if _, err := c.Resolve(nil); err == nil {
+		t.Error("no machine at all")
+	}
+}
--- a/internal/fleet/fleetsim/fleetsim_test.go
+++ b/internal/fleet/fleetsim/fleetsim_test.go
@@ -340,3 +340,40 @@
 	}
 	f.good(t)
 }
+
+// What fails in the middle of others' work stops new grants, and says so, until it is back.
+func TestAFailureBesideWorkStopsGrants(t *testing.T) {
+	f := small(t, 10)
+	a := f.answer(t, f.Ask(f.Fronts[4], work("a", 1))).ID
+	f.wants(t, a, ledger.Out, 20*Second)
+	servers := list(12, 3)
+	servers[8].Ready = false
+	f.Servers(servers, nil)
+	f.Run(Second)
+	b := f.answer(t, f.Ask(f.Fronts[4], work("b", 5))).ID
+	f.Run(3 * Second)
+	if why, _ := f.Leader().Core.Why(b); f.phase(b) != ledger.Asked || why.Limit != "held" {
+		t.Errorf("%s, %+v", f.phase(b), why)
+	}
+	f.Servers(list(12, 3), nil)
+	f.wants(t, b, ledger.Out, 20*Second)
+	f.good(t)
+}
+
+// A follower without a disk hears of what is out as soon as it reaches a voter.
+func TestAFollowerWithoutADisk(t *testing.T) {
+	f := small(t, 11)
+	a := f.answer(t, f.Ask(f.Fronts[4], work("a", 1))).ID
+	f.wants(t, a, ledger.Out, 20*Second)
+	x := f.Fronts[4]
+	f.Kill(x)
+	x.Disk = &Disk{}
+	f.Run(5 * Second)
+	f.Start(x)
+	if x.Server[1] != 0 {
+		t.Fatal("it knows what nobody told it")
+	}
+	if !f.Until(3*Second, func() bool { return x.Server[1] == a }) {
+		t.Errorf("after 3 s it keeps %v", x.Server)
+	}
+}
