--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -94,6 +94,7 @@
 	now   Time
 	state *ledger.State
 	heard Time // from a voter, or a majority
+	fresh bool // as it was when what is to be kept was told last
 	lead  string
 
 	members map[string]Member
@@ -220,6 +221,9 @@
 	c.tickParts()
 	c.tickCommands()
 	c.lapse()
+	if c.fresh != c.Fresh() { // what had lapsed counts again
+		c.keeps()
+	}
 }
 
 // Members takes what membership knows.
--- a/internal/fleet/core/follow.go
+++ b/internal/fleet/core/follow.go
@@ -43,6 +43,7 @@
 
 // keeps tells the front what it is to keep free, and what has just come back.
 func (c *Core) keeps() {
+	c.fresh = c.Fresh()
 	servers, fronts := c.state.Kept()
 	for _, w := range c.state.Works {
 		if w.Phase.Kept() && c.lapsed(w) {
@@ -183,9 +184,13 @@
 		}
 	}
 	share := slices.Index(voters, c.cfg.Me)
+	for name := range v.acked {
+		if !c.members[name].Alive {
+			delete(v.acked, name)
+		}
+	}
 	for name, m := range c.members {
 		if !m.Alive {
-			delete(v.acked, name)
 			continue
 		}
 		if slices.Contains(c.cfg.Voters, name) || int(nameHash(name))%len(voters) != share {
--- a/internal/fleet/core/lead.go
+++ b/internal/fleet/core/lead.go
@@ -18,6 +18,11 @@
 		c.leader.since, c.leader.term, c.leader.steps = c.now, c.voter.node.Status().Term, map[uint64]Time{}
 		c.partSoon = true
 	}
+	for id := range c.leader.steps {
+		if w := c.state.Work(id); w == nil || w.Phase.Ended() {
+			delete(c.leader.steps, id)
+		}
+	}
 	c.sawServers()
 	for _, w := range c.state.Works {
 		if !w.Phase.Counts() || c.now-c.leader.steps[w.ID] < askEvery {
--- /dev/null
+++ b/internal/fleet/fleetsim/disk.go
@@ -0,0 +1,43 @@
+package fleetsim
+
+import (
+	"slices"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"tealledge/internal/fleet/core"
+)
+
+// Simulated disks.
+
+func (d *Disk) write(w core.Write) {
+	if w.Wipe {
+		*d = Disk{Lives: d.Lives}
+	}
+	if w.Identity != nil {
+		d.Identity = *w.Identity
+	}
+	if w.Lives != nil {
+		d.Lives = w.Lives
+	}
+	if w.Hard != nil {
+		d.Disk.Hard = w.Hard
+	}
+	if w.State != nil {
+		d.State = w.State
+	}
+	if w.Snap != nil {
+		d.Disk.Snap = w.Snap
+		if w.First == 0 {
+			d.Disk.Entries = nil
+		}
+	}
+	if len(w.Entries) > 0 {
+		first := w.Entries[0].GetIndex()
+		d.Disk.Entries = slices.DeleteFunc(slices.Clone(d.Disk.Entries), func(e *pb.Entry) bool { return e.GetIndex() >= first })
+		d.Disk.Entries = append(d.Disk.Entries, w.Entries...)
+	}
+	if w.First > 0 {
+		d.Disk.Entries = slices.DeleteFunc(slices.Clone(d.Disk.Entries), func(e *pb.Entry) bool { return e.GetIndex() < w.First })
+	}
+}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -40,8 +40,12 @@
 	RackKB    float64
 }
 
-// Bounds of what waits for the owner.
-const inboxMost = 8192
+// inboxMost bounds what waits for the owner; membersEvery is how many ticks pass between two looks at all members, which come
+// beside those for each change.
+const (
+	inboxMost    = 8192
+	membersEvery = 10
+)
 
 // Node is running.
 type Node struct {
@@ -178,6 +182,7 @@
 	ticker := time.NewTicker(time.Duration(core.TickEvery))
 	defer ticker.Stop()
 	n.carry()
+	ticks := 0
 	for {
 		select {
 		case <-n.end:
@@ -188,7 +193,9 @@
 			n.core.Members(time.Now().UnixNano(), n.members.all())
 		case <-ticker.C:
 			now := time.Now().UnixNano()
-			n.core.Members(now, n.members.all())
+			if ticks++; ticks%membersEvery == 0 {
+				n.core.Members(now, n.members.all()) // those that are gone are forgotten in time
+			}
 			n.core.Tick(now)
 		}
 		n.carry()
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -213,7 +213,17 @@
 			t.Fatal(err)
 		}
 		whole(t, r, ctx)
+		r.Hold = 5 * time.Second
 		a := ask(t, r, ctx, 4, "wiped", 10)
+		reaches(t, r, ctx, 4, a, ledger.Out)
+		r.Down(3) // a follower that starts without a disk while a machine is out
+		if err := r.Wipe(3); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Up(3); err != nil {
+			t.Fatal(err)
+		}
+		r.Hold = 1500 * time.Millisecond
 		reaches(t, r, ctx, v, a, ledger.Done)
 		r.Down(v)
 		if err := r.PutBack(v, old); err != nil {
