A grant is taken back if a failure makes it one too many before its machines are out

Ruled out: a stale list, a late front (the leader had the list within 0.1 s). Work that is granted or draining is weighed again at each look; if it would break a limit by now it is asked again, nothing having been touched.

TestAGrantIsTakenBack fails without it.

--- a/decide/upkeep/upkeep.go
+++ b/decide/upkeep/upkeep.go
@@ -174,6 +174,25 @@
 	return answers
 }
 
+// Broken tells which limit work that was let go, and whose machines are not out yet, would break by now: what fails meanwhile
+// counts, and work that was granted must not take the rest down after it. "": none.
+func Broken(l Limits, w *World, asks []Ask, id uint64) string {
+	t := newTally(l, w)
+	var own *Ask
+	for i := range asks {
+		if asks[i].ID == id {
+			own = &asks[i]
+		} else if asks[i].Out {
+			t.add(&asks[i])
+		}
+	}
+	if own == nil {
+		return ""
+	}
+	stop, _ := t.check(own)
+	return stop.Why
+}
+
 // never tells why an ask can't be let go even if nothing else were out and nothing had failed, or no more in time.
 func never(now Time, bare *tally, w *World, a *Ask) Answer {
 	if len(a.Servers)+len(a.Fronts) == 0 {
--- a/internal/fleet/core/lead.go
+++ b/internal/fleet/core/lead.go
@@ -24,10 +24,18 @@
 		}
 	}
 	c.sawServers()
+	asks, world := c.asks(), c.world()
 	for _, w := range c.state.Works {
 		if !w.Phase.Counts() || c.now-c.leader.steps[w.ID] < askEvery {
 			continue
 		}
+		if w.Phase == ledger.Granted || w.Phase == ledger.Draining {
+			if why := upkeep.Broken(c.cfg.Limits, world, asks, w.ID); why != "" {
+				c.leader.steps[w.ID] = c.now
+				c.propose(ledger.Entry{Kind: ledger.KindAdvance, ID: w.ID, Fence: w.Fence, Was: w.Phase, To: ledger.Asked, Why: "taken back: " + why})
+				continue
+			}
+		}
 		to, until, why, ok := c.cfg.Times.Next(c.now, c.course(w))
 		if !ok {
 			continue
@@ -35,9 +43,8 @@
 		c.leader.steps[w.ID] = c.now
 		c.propose(ledger.Entry{Kind: ledger.KindAdvance, ID: w.ID, Fence: w.Fence, Was: w.Phase, To: phases[to], Until: until, Why: why})
 	}
-	asks := c.asks()
 	c.leader.why = map[uint64]upkeep.Answer{}
-	for _, a := range upkeep.Decide(c.now, c.cfg.Limits, c.world(), asks) {
+	for _, a := range upkeep.Decide(c.now, c.cfg.Limits, world, asks) {
 		c.leader.why[a.ID] = a
 		switch a.Verdict {
 		case upkeep.Never:
--- a/internal/fleet/fleetsim/fleetsim_test.go
+++ b/internal/fleet/fleetsim/fleetsim_test.go
@@ -360,6 +360,27 @@
 	f.good(t)
 }
 
+// A server fails in the rack of one that was granted and is being emptied: the grant is taken back before anything is touched,
+// and goes when the other is back.
+func TestAGrantIsTakenBack(t *testing.T) {
+	f := small(t, 12)
+	f.Fronts[1].Mine = map[uint32]core.Standing{1: {Sessions: 1, KB: 100}}
+	a := f.answer(t, f.Ask(f.Fronts[4], work("a", 1))).ID
+	f.wants(t, a, ledger.Draining, 20*Second)
+	servers := list(12, 3)
+	servers[1].Ready = false
+	f.Servers(servers, nil)
+	f.wants(t, a, ledger.Asked, 3*Second)
+	f.Fronts[1].Mine = map[uint32]core.Standing{}
+	f.Run(10 * Second)
+	if why, _ := f.Leader().Core.Why(a); f.phase(a) != ledger.Asked || why.Limit != "rack" || f.Fronts[4].Server[1] != 0 {
+		t.Errorf("%s, %+v, kept %v", f.phase(a), why, f.Fronts[4].Server)
+	}
+	f.Servers(list(12, 3), nil)
+	f.wants(t, a, ledger.Out, 20*Second)
+	f.good(t)
+}
+
 // A follower without a disk hears of what is out as soon as it reaches a voter.
 func TestAFollowerWithoutADisk(t *testing.T) {
 	f := small(t, 11)
--- a/internal/fleet/ledger/steps.go
+++ b/internal/fleet/ledger/steps.go
@@ -58,10 +58,10 @@
 // follows tells which phases follow which of themselves.
 func follows(was, to Phase) bool {
 	switch was {
-	case Granted:
-		return to == Draining
+	case Granted: // taken back, if something failed meanwhile: nothing was touched yet
+		return to == Draining || to == Asked
 	case Draining:
-		return to == Out
+		return to == Out || to == Asked
 	case Out:
 		return to == Back
 	case Back:
