--- a/policy/playing.go
+++ b/policy/playing.go
@@ -122,9 +122,9 @@
 	}
 }
 
-// empty moves sessions off a server that is to be empty by a time, paced, each to the best holder with room. Those
-// that are known to end before are left: a move costs, and takes room elsewhere. Harm: of those that last longer some
-// lose a moment.
+// empty moves sessions off a server that is to be empty by a time, paced, each to the best holder with room.
+// Those that are known to end before are left: a move costs, and takes room elsewhere. Harm: of those that
+// last longer some lose a moment.
 func (f *Front) empty(v *server) {
 	for _, s := range v.held {
 		if f.moves.fill(f.now, movesPerS, movesBurst) < 1 {
