A front's host is emptied before it goes; the rig runs with clocks 5 s apart

Seen (a first fleet by docs/run/upkeep.md): a front's host was out 3 s after it was asked for, whatever stood with its viewers: only servers' sessions were counted (internal/fleet/core/parts.go, course).

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -21,6 +21,7 @@
 	Limits                              upkeep.Limits
 	Times                               upkeep.Times
 	Stale                               time.Duration
+	Skew                                time.Duration         // of the fleet's clock; not in a file: trials set it
 	at                                  map[string]*sexp.Node // where forms stand, for mistakes that show at the end
 	zones                               []string              // of Voters
 }
--- a/internal/fleet/core/names.go
+++ b/internal/fleet/core/names.go
@@ -176,6 +176,9 @@
 		}
 		if name == c.cfg.Me {
 			h.Zone = c.cfg.Zone
+			if c.voter != nil {
+				h.Life = c.voter.me.Life
+			}
 		}
 		s.Here = append(s.Here, h)
 	}
--- a/internal/fleet/core/parts.go
+++ b/internal/fleet/core/parts.go
@@ -219,6 +219,9 @@
 	return ""
 }
 
+// gone tells whether a front has left.
+func (c *Core) gone(name string) bool { _, left := c.left[name]; return left }
+
 // course tells how work that was let go stands.
 func (c *Core) course(w *ledger.Work) upkeep.Course {
 	k := upkeep.Course{Since: w.Since, For: w.Ask.For}
@@ -236,6 +239,13 @@
 			k.Standing += p.Servers[s.Server].Sessions
 		}
 	}
+	for _, name := range w.Ask.Fronts { // what stands with viewers of a front's host, wherever it plays
+		if p := c.leader.parts[name]; p != nil && !c.gone(name) {
+			for _, s := range p.Servers {
+				k.Standing += s.Sessions
+			}
+		}
+	}
 	for _, name := range here {
 		p := c.leader.parts[name]
 		if p == nil || p.Applied < w.Fence {
--- a/internal/fleet/fleetsim/fleetsim_test.go
+++ b/internal/fleet/fleetsim/fleetsim_test.go
@@ -381,6 +381,23 @@
 	f.good(t)
 }
 
+// A front's host goes out once the sessions of its viewers are over, wherever they play.
+func TestAFrontsHostIsEmptied(t *testing.T) {
+	f := small(t, 13)
+	f.Fronts[3].Mine = map[uint32]core.Standing{1: {Sessions: 1, KB: 100}}
+	e := ledger.Entry{Kind: ledger.KindAsk, Key: "a", Ask: &ledger.Ask{Names: []string{"front:f004"}, Fronts: []string{"f004"}, For: 20 * Second}}
+	f.Run(6 * Second)
+	a := f.answer(t, f.Ask(f.Fronts[0], e)).ID
+	f.wants(t, a, ledger.Draining, 20*Second)
+	f.Run(10 * Second)
+	if f.phase(a) != ledger.Draining || f.Fronts[3].Fronts["f004"] != a {
+		t.Errorf("%s, kept %v", f.phase(a), f.Fronts[3].Fronts)
+	}
+	f.Fronts[3].Mine = map[uint32]core.Standing{}
+	f.wants(t, a, ledger.Out, 10*Second)
+	f.good(t)
+}
+
 // A follower without a disk hears of what is out as soon as it reaches a voter.
 func TestAFollowerWithoutADisk(t *testing.T) {
 	f := small(t, 11)
--- a/internal/fleet/node/control.go
+++ b/internal/fleet/node/control.go
@@ -147,7 +147,7 @@
 
 // listing gives all works, or one. Why they wait is the leader's to say: it is asked, and given a moment.
 func (n *Node) listing(ctx context.Context, id uint64) (l Listing, err error) {
-	asked := time.Now().UnixNano()
+	asked := n.now()
 	if err := n.Look(ctx, func(c *core.Core) { c.AskWhy(asked) }); err != nil {
 		return l, err
 	}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -38,6 +38,7 @@
 	Times     upkeep.Times
 	Stale     time.Duration
 	RackKB    float64
+	Skew      time.Duration // of this part's clock, for trials of clocks that stand apart
 }
 
 // inboxMost bounds what waits for the owner; membersEvery is how many ticks pass between two looks at all members, which come
@@ -84,7 +85,7 @@
 		}
 		return nil, err
 	}
-	n.core, err = core.New(time.Now().UnixNano(), core.Config{Me: cfg.Name, Zone: cfg.Zone, Cluster: cfg.Cluster, Voters: cfg.Voters, Limits: cfg.Limits,
+	n.core, err = core.New(n.now(), core.Config{Me: cfg.Name, Zone: cfg.Zone, Cluster: cfg.Cluster, Voters: cfg.Voters, Limits: cfg.Limits,
 		Times: cfg.Times, Stale: int64(cfg.Stale), RackKB: cfg.RackKB, Draw: rand.Uint64, Log: raftLog{n.log}}, start)
 	if err != nil {
 		return fail(err)
@@ -108,12 +109,14 @@
 	return n, nil
 }
 
+func (n *Node) now() int64 { return time.Now().Add(n.cfg.Skew).UnixNano() }
+
 var _ raft.Logger = raftLog{}
 
 // letter takes what a member sent. What finds no room is dropped: the sender says it again.
 func (n *Node) letter(from string, b []byte) {
 	select {
-	case n.inbox <- func() { n.core.Message(time.Now().UnixNano(), from, b) }:
+	case n.inbox <- func() { n.core.Message(n.now(), from, b) }:
 	default:
 		n.members.Dropped.Add(1)
 	}
@@ -133,12 +136,12 @@
 
 // Servers tells what the front's list holds, and which servers hold titles together.
 func (n *Node) Servers(list []core.Server, groups [][]uint32) {
-	n.put(func() { n.core.Servers(time.Now().UnixNano(), list, groups) })
+	n.put(func() { n.core.Servers(n.now(), list, groups) })
 }
 
 // Mine tells what stands on servers from this front.
 func (n *Node) Mine(mine map[uint32]core.Standing) {
-	n.put(func() { n.core.Mine(time.Now().UnixNano(), mine) })
+	n.put(func() { n.core.Mine(n.now(), mine) })
 }
 
 // Command has an entry agreed on and waits for its answer.
@@ -147,7 +150,7 @@
 	if !n.put(func() {
 		n.handle++
 		n.replies[n.handle] = reply
-		n.core.Command(time.Now().UnixNano(), n.handle, e)
+		n.core.Command(n.now(), n.handle, e)
 	}) {
 		return ledger.Answer{}, fmt.Errorf("the fleet's part of this front has no room")
 	}
@@ -190,9 +193,9 @@
 		case f := <-n.inbox:
 			f()
 		case <-n.stirred:
-			n.core.Members(time.Now().UnixNano(), n.members.all())
+			n.core.Members(n.now(), n.members.all())
 		case <-ticker.C:
-			now := time.Now().UnixNano()
+			now := n.now()
 			if ticks++; ticks%membersEvery == 0 {
 				n.core.Members(now, n.members.all()) // those that are gone are forgotten in time
 			}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -27,6 +27,9 @@
 	cfg, err := config.Load(os.Args[len(os.Args)-1])
 	var s *serve.Server
 	if err == nil {
+		if os.Getenv("APART") != "" { // clocks of the fleet 5 s apart
+			cfg.Fleet.Skew = time.Duration(cfg.Front.Me%3-1) * 5 * time.Second / 2
+		}
 		s, err = serve.New(cfg, zerolog.New(os.Stderr).Level(zerolog.InfoLevel).With().Timestamp().Logger())
 	}
 	if err != nil {
@@ -41,7 +44,7 @@
 	}
 }
 
-func open(t *testing.T) (*Rig, context.Context) {
+func open(t *testing.T, env ...string) (*Rig, context.Context) {
 	t.Helper()
 	s, err := day.Parse("rig", Site)
 	if err != nil {
@@ -49,7 +52,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
 	t.Cleanup(cancel)
-	r, err := Open(ctx, s, day.Options{Command: []string{os.Args[0], "-test.run=^$"}, Dir: t.TempDir(), Out: os.Stderr, Env: []string{"AS_FRONT=1"}}, 3)
+	r, err := Open(ctx, s, day.Options{Command: []string{os.Args[0], "-test.run=^$"}, Dir: t.TempDir(), Out: os.Stderr, Env: append(env, "AS_FRONT=1")}, 3)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,8 +130,8 @@
 	loaded func() error
 }
 
-func begin(t *testing.T) *trial {
-	r, ctx := open(t)
+func begin(t *testing.T, env ...string) *trial {
+	r, ctx := open(t, env...)
 	x := &trial{Rig: r, t: t, ctx: ctx, began: time.Now()}
 	x.lead = whole(t, r, ctx)
 	crowd, enough := context.WithCancel(ctx)
@@ -239,10 +242,10 @@
 	x.judge(7)
 }
 
-// Faults of links and machines, and a restart of all.
+// Faults of links and machines, and a restart of all, with the fleet's clocks apart by 5 s all the time.
 func TestLinksAndMachinesThatFail(t *testing.T) {
 	t.Parallel()
-	x := begin(t)
+	x := begin(t, "APART=1")
 	r, ctx := x.Rig, x.ctx
 	x.step("a voter that hears and is not heard", func() {
 		r.Mute(x.second())
--- a/internal/serve/fleet.go
+++ b/internal/serve/fleet.go
@@ -41,7 +41,7 @@
 	}
 	s.fleet.node, err = node.New(node.Config{Name: s.cfg.Front.Name, Zone: s.cfg.Service.Zone, Cluster: f.Cluster, Listen: f.Listen, Advertise: f.Advertise,
 		Join: f.Join, Via: f.Via, Keys: f.Keys, Voters: f.Voters, Dir: s.cfg.Front.StateDir, Control: f.Control, Limits: f.Limits, Times: f.Times,
-		Stale: f.Stale, RackKB: s.cfg.Service.RackKB}, s.log, func(k core.Keeps) { s.queue.Force(keeps{k}) })
+		Stale: f.Stale, Skew: f.Skew, RackKB: s.cfg.Service.RackKB}, s.log, func(k core.Keeps) { s.queue.Force(keeps{k}) })
 	return err
 }
 
