--- a/internal/rig/operator.go
+++ b/internal/rig/operator.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// Hold sets how long machines are worked on from now on.
+func (r *Rig) Hold(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hold = d
+}
+
+func (r *Rig) holds() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hold
+}
+
 // do works on machines.
 func (r *Rig) do(ctx context.Context, id uint64, j *job) {
 	defer r.group.Done()
@@ -80,7 +93,7 @@
 		}
 	}
 	select {
-	case <-time.After(r.Hold):
+	case <-time.After(r.holds()):
 	case <-ctx.Done():
 	}
 	for _, m := range down {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -29,8 +29,7 @@
 	client *http.Client
 	end    context.CancelFunc
 	group  sync.WaitGroup
-	// Hold is how long machines are worked on.
-	Hold time.Duration
+	hold   time.Duration // how long machines are worked on
 }
 
 // job is a work of which this rig has to do its part.
@@ -82,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{fronts: s.Fronts, voters: voters, cut: map[int]bool{}, down: map[int]bool{}, works: map[uint64]*job{}, Hold: 1500 * time.Millisecond,
+	r := &Rig{fronts: s.Fronts, voters: voters, cut: map[int]bool{}, down: map[int]bool{}, works: map[uint64]*job{}, hold: 1500 * time.Millisecond,
 		client: &http.Client{Timeout: 16 * time.Second}}
 	if r.Net, err = NewNet(s.Seed, listen); err != nil {
 		return nil, err
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -216,7 +216,7 @@
 			t.Fatal(err)
 		}
 		whole(t, r, ctx)
-		r.Hold = 5 * time.Second
+		r.Hold(5 * time.Second)
 		a := ask(t, r, ctx, 4, "wiped", 10)
 		reaches(t, r, ctx, 4, a, ledger.Out)
 		r.Down(3) // a follower that starts without a disk while a machine is out
@@ -226,7 +226,7 @@
 		if err := r.Up(3); err != nil {
 			t.Fatal(err)
 		}
-		r.Hold = 1500 * time.Millisecond
+		r.Hold(1500 * time.Millisecond)
 		reaches(t, r, ctx, v, a, ledger.Done)
 		r.Down(v)
 		if err := r.PutBack(v, old); err != nil {
@@ -254,7 +254,7 @@
 		r.Heal()
 	})
 	x.step("split two to three, asked at both sides, healed while a machine is out", func() {
-		r.Hold = 8 * time.Second
+		r.Hold(8 * time.Second)
 		a := ask(t, r, ctx, 4, "split", 5)
 		reaches(t, r, ctx, 4, a, ledger.Out)
 		r.Split(x.lead, 4)
@@ -263,7 +263,7 @@
 		}
 		b := ask(t, r, ctx, 3, "majority", 6)
 		r.Heal()
-		r.Hold = 1500 * time.Millisecond
+		r.Hold(1500 * time.Millisecond)
 		reaches(t, r, ctx, 3, a, ledger.Done)
 		reaches(t, r, ctx, 3, b, ledger.Done)
 		reaches(t, r, ctx, 3, ask(t, r, ctx, 4, "minority", 11), ledger.Done)
@@ -285,7 +285,7 @@
 		reaches(t, r, ctx, 3, a, ledger.Done)
 	})
 	x.step("all fronts restarted while a machine is out, a stalled link meanwhile", func() {
-		r.Hold = 6 * time.Second
+		r.Hold(6 * time.Second)
 		a := ask(t, r, ctx, 4, "restart", 2)
 		reaches(t, r, ctx, 4, a, ledger.Out)
 		r.Net.Between([]int{0}, []int{1}, Fault{Stall: true})
@@ -298,7 +298,7 @@
 			}
 		}
 		r.Heal()
-		r.Hold = 1500 * time.Millisecond
+		r.Hold(1500 * time.Millisecond)
 		reaches(t, r, ctx, 3, a, ledger.Done)
 	})
 	x.judge(6)
