--- a/internal/fleet/core/core_test.go
+++ b/internal/fleet/core/core_test.go
@@ -79,3 +79,13 @@
 		t.Error("no machine at all")
 	}
 }
+
+// Letters past the bound, or with nothing in them, are counted and read no further.
+func TestALetterPastTheBound(t *testing.T) {
+	c := alone(t, "a")
+	c.Message(5, "x", make([]byte, MessageMost+1))
+	c.Message(5, "x", nil)
+	if c.Stats.Unreadable != 2 || c.Stats.LastBad == "" {
+		t.Fatalf("%+v", c.Stats)
+	}
+}
