--- a/internal/audit/upkeep.go
+++ b/internal/audit/upkeep.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"tealledge/internal/record"
@@ -55,8 +56,9 @@
 		case record.WorkEnded:
 			ended[e.Call] = true
 			checked[RuleEnded]++
-			if len(e.Text) < len("done: x") {
-				say(RuleEnded, e, "an end without a reason")
+			how, why, _ := strings.Cut(e.Text, ":")
+			if how != "done" && how != "cancelled" && (how != "refused" || strings.TrimSpace(why) == "") {
+				say(RuleEnded, e, "neither done nor cancelled nor refused with a reason")
 			}
 		case record.Deaf:
 			deaf[e.Front] = e.T
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -279,32 +278,5 @@
 		Leads: s.RaftState == raft.StateLeader, Silent: n.silent, Voters: n.conf.GetVoters()}
 }
 
-// Heard gives, on the leader, the highest index that each other voter is known to have; those that were not heard of
-// lately are left out.
-func (n *Node) Heard() map[uint64]uint64 {
-	heard := map[uint64]uint64{}
-	for id, p := range n.raw.Status().Progress {
-		if p.RecentActive && id != n.id {
-			heard[id] = p.Match
-		}
-	}
-	return heard
-}
-
-// Unreachable tells that a message to a voter could not be sent.
-func (n *Node) Unreachable(id uint64) {
-	n.raw.ReportUnreachable(id)
-	n.raw.ReportSnapshot(id, raft.SnapshotFailure)
-}
-
 // SnapshotSent tells that a snapshot has left.
 func (n *Node) SnapshotSent(id uint64) { n.raw.ReportSnapshot(id, raft.SnapshotFinish) }
-
-// Last is the index of the newest entry in the log.
-func (n *Node) Last() uint64 {
-	last, err := n.store.LastIndex()
-	if err != nil {
-		return math.MaxUint64
-	}
-	return last
-}
