Whether its client is there, and where it goes, is looked at where a set-up's bytes go out

- A server's address changes while the old one is connected to (servers.Listed): set-ups that waited were written to whoever has the old address.
A new server listed at the address of one whose end is not told yet: the same.
- A server ends its connection as a set-up is written: it could not be told from one that ran.
It waits once for the next.
- A signal before the configuration was read ended the process.
- A flood of connections, with the owner busy, passed the limit of viewers' descriptors: those past half of the reserve are closed as they are accepted.
- A front that leaves looks into its sockets and its listener before it ends, and does not only wait for quiet.

--- a/cmd/tealledge/platform.go
+++ b/cmd/tealledge/platform.go
@@ -24,6 +24,9 @@
 const memoryPart = 0.6
 
 func (c *platformCmd) Run() error {
+	// Danger: a signal that comes before it is asked for ends the process, as SIGHUP would a front that just starts.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	cfg, err := node.Load(c.Config)
 	if err != nil {
 		return err
@@ -41,8 +44,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go func() {
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,22 +24,29 @@
 	mu     sync.Mutex
 	conns  map[uint64]*client
 	last   atomic.Uint64
+	held   atomic.Int64 // connections that have a descriptor
+	most   atomic.Int64 // of these; 0: any number
+	shed   atomic.Uint64
+	peeked []byte // the owner's
 }
 
 // clientEvents takes what viewers' connections bring; called from many goroutines.
 type clientEvents interface {
 	accepted(conn uint64)
-	said(conn uint64, list []viewers.In, broken error, partial bool)
+	said(k *client, list []viewers.In, broken error, partial bool)
 	left(conn uint64)
 }
 
 type client struct {
-	id   uint64
-	pipe *pipe.Pipe
-	deaf atomic.Bool // it is being closed: what it still sends is read and dropped
-	mu   sync.Mutex
-	cut  *wire.Splitter
-	torn bool // its stream can't be read any further
+	id      uint64
+	conn    netpoll.Connection
+	pipe    *pipe.Pipe
+	deaf    atomic.Bool  // it is being closed: what it still sends is read and dropped
+	unheard atomic.Int32 // what was read of it and the owner has not taken yet
+	mu      sync.Mutex
+	cut     *wire.Splitter
+	torn    bool            // its stream can't be read any further
+	back    map[uint64]bool // sessions that it took back or ended, by words that the owner has not taken yet
 }
 
 type clientKey struct{}
@@ -45,6 +55,7 @@
 	clientBytes = 128 << 10              // that may wait on one connection
 	clientWrite = 2 * time.Second        // a viewer that takes nothing for so long loses its connection
 	lingers     = 150 * time.Millisecond // from the last bytes to the close: closed at once, unread input would destroy them
+	readerTurns = 20                     // that a connection's reader is given before a set-up is sent for it
 )
 
 func listen(addr string, events clientEvents) (*clients, error) {
@@ -54,16 +65,27 @@
 		return nil, err
 	}
 	c.ln = ln
-	if c.loop, err = netpoll.NewEventLoop(c.request, netpoll.WithOnConnect(c.connect)); err != nil {
+	if c.loop, err = netpoll.NewEventLoop(c.request, netpoll.WithOnPrepare(c.prepare), netpoll.WithOnConnect(c.connect)); err != nil {
 		ln.Close()
 		return nil, err
 	}
 	return c, nil
 }
 
+// prepare counts a connection's descriptor before anything else is done. Danger: the owner closes those past the limit, but it may
+// be busy; a flood would meanwhile take what is reserved for servers and the list. Harm: in a flood a viewer is closed on.
+func (c *clients) prepare(nc netpoll.Connection) context.Context {
+	pipe.OnEnd(nc, func() { c.held.Add(-1) })
+	if held, most := c.held.Add(1), c.most.Load(); most > 0 && held > most {
+		c.shed.Add(1)
+		nc.Close()
+	}
+	return context.Background()
+}
+
 func (c *clients) connect(ctx context.Context, nc netpoll.Connection) context.Context {
 	pipe.Tune(nc)
-	k := &client{id: c.last.Add(1), pipe: pipe.New(nc, clientBytes, clientWrite), cut: wire.NewSplitter(wire.MaxMessage)}
+	k := &client{id: c.last.Add(1), conn: nc, pipe: pipe.New(nc, clientBytes, clientWrite), cut: wire.NewSplitter(wire.MaxMessage)}
 	c.mu.Lock()
 	c.conns[k.id] = k
 	c.mu.Unlock()
@@ -88,20 +110,27 @@
 		r.Skip(n)
 		return r.Release()
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.torn {
-		r.Skip(n)
-		return r.Release()
-	}
 	b, err := r.Next(n)
 	if err != nil {
 		return err
 	}
-	k.cut.Feed(b)
+	list, broken, partial, ok := k.parse(b)
 	r.Release()
-	var list []viewers.In
-	var broken error
+	if ok {
+		c.events.said(k, list, broken, partial)
+	}
+	return nil
+}
+
+// parse cuts what was read into lines. What takes something back is noted at once, for the owner may be behind.
+func (k *client) parse(b []byte) (list []viewers.In, broken error, partial, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.torn {
+		return nil, nil, false, false
+	}
+	k.unheard.Add(1)
+	k.cut.Feed(b)
 	for {
 		line, err := k.cut.Next()
 		if err != nil {
@@ -113,27 +142,99 @@
 		}
 		var in viewers.In
 		in.Line, in.Err = wire.ParseLine(line)
+		if in.Line.Msg == wire.LineClose && in.Line.Sid != 0 {
+			if k.back == nil {
+				k.back = map[uint64]bool{}
+			}
+			k.back[in.Line.Sid] = true
+		}
 		list = append(list, in)
 	}
-	c.events.said(k.id, list, broken, k.cut.Partial())
-	return nil
+	return list, broken, k.cut.Partial(), true
+}
+
+// heard tells that the owner has taken what parse gave.
+func (k *client) heard(list []viewers.In) {
+	k.unheard.Add(-1)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, in := range list { // a later word about a session named here may wait still
+		if in.Line.Msg == wire.LineClose {
+			delete(k.back, in.Line.Sid)
+		}
+	}
+	if len(k.back) == 0 {
+		k.back = nil
+	}
+}
+
+func (c *clients) get(conn uint64) *client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conns[conn]
+}
+
+// quiet tells whether nothing that came on a connection waits to be read or handed on.
+func (c *clients) quiet(conn uint64) bool {
+	k := c.get(conn)
+	if k == nil {
+		return true
+	}
+	if k.unheard.Load() != 0 || k.conn.Reader().Len() != 0 {
+		return false
+	}
+	_, unread := k.look()
+	return !unread
+}
+
+func (k *client) look() (ended, unread bool) {
+	c, ok := k.conn.(netpoll.Conn)
+	if !ok {
+		return false, false
+	}
+	ended, unread = pipe.Look(c.Fd())
+	return ended || !k.conn.IsActive(), unread // asked last: while it stands its descriptor is nobody else's
+}
+
+// waits tells whether the client that sent a request is still there and has not taken it back, by all that has reached this
+// machine: what the readers know and the owner has not heard of, and what still lies in the socket.
+func (c *clients) waits(conn, session uint64) bool {
+	k := c.get(conn)
+	if k == nil || k.deaf.Load() {
+		return false
+	}
+	for i := 0; i < readerTurns && k.conn.Reader().Len() != 0; i++ {
+		runtime.Gosched() // its reader has bytes that it could not look at yet
+	}
+	ended, unread := k.look()
+	if ended {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.back[session] {
+		return false
+	}
+	if !unread {
+		return true
+	}
+	if c.peeked == nil {
+		c.peeked = make([]byte, wire.MaxMessage)
+	}
+	n := pipe.Peek(k.conn.(netpoll.Conn).Fd(), c.peeked)
+	return !k.cut.TakesBack(c.peeked[:n], session)
 }
 
 // send writes without holding the owner up; a viewer that reads too slowly loses its connection.
 func (c *clients) send(conn uint64, b []byte) {
-	c.mu.Lock()
-	k := c.conns[conn]
-	c.mu.Unlock()
-	if k != nil {
+	if k := c.get(conn); k != nil {
 		k.pipe.Send(b)
 	}
 }
 
 // shut closes a connection once its last bytes could be read.
 func (c *clients) shut(conn uint64, last []byte) {
-	c.mu.Lock()
-	k := c.conns[conn]
-	c.mu.Unlock()
+	k := c.get(conn)
 	if k == nil || k.deaf.Swap(true) {
 		return
 	}
@@ -145,16 +246,18 @@
 	time.AfterFunc(lingers, k.pipe.Finish)
 }
 
-// idle tells whether nothing waits to be written to anybody.
-func (c *clients) idle() bool {
+// drained tells whether nothing waits to be written to anybody or to be read of anybody, and nobody to be let in.
+func (c *clients) drained() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, k := range c.conns {
-		if !k.pipe.Idle() {
+	all := slices.Collect(maps.Keys(c.conns))
+	c.mu.Unlock()
+	for _, conn := range all {
+		if k := c.get(conn); k != nil && (!k.pipe.Idle() || !c.quiet(conn)) {
 			return false
 		}
 	}
-	return true
+	_, waiting := pipe.Look(c.ln.Fd())
+	return !waiting
 }
 
 func (c *clients) close(ctx context.Context) {
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -63,6 +63,8 @@
 	leaving front.Time        // SIGTERM came then; 0: it did not
 	saidAt  front.Time        // viewers were last heard, or came
 	done    chan struct{}
+
+	reading, readAgain bool // a configuration is being read; it is to be read once more
 }
 
 // New makes a front from its configuration and listens; viewers are served once Run is called.
@@ -76,20 +78,21 @@
 	n.core = front.New(front.Config{Settings: cfg.Settings, Module: policy.New(cfg.Settings, cfg.Seed), KnownViewers: true,
 		AnswerMargin: answerMargin, LastLine: lastLine, MovedFor: movedFor, MovedMost: 10_000})
 	wait := max(cfg.Settings.ConnectWait, 50*policy.Millisecond)
-	n.servers = servers.New(servers.Config{Classes: cfg.Names.Classes, Fields: cfg.Names.Fields, Connect: wait, ProbeWait: wait})
+	n.servers = servers.New(servers.Config{Classes: cfg.Names.Classes, Fields: cfg.Names.Fields, Connect: wait, ProbeWait: wait,
+		Waits: n.waits, Ended: func(conn uint64) bool { return n.links.Ended(conn) }})
 	n.viewers = viewers.New(viewers.Config{Settings: cfg.Settings, Classes: cfg.Names.Classes, Host: n.hosts.number, OpenMost: openMost,
-		Silent: silentMost, Half: halfMost, Idle: idleMost})
-	n.share()
+		Silent: silentMost, Half: halfMost, Idle: idleMost, Quiet: func(conn uint64) bool { return n.clients.quiet(conn) }})
 	n.follow = journal.New(cfg.Journal, cfg.Pos, rand.Float64)
 	n.links, n.feed = pipe.NewLinks(linkBytes, linkWrite), pipe.NewLinks(linkBytes, linkWrite)
-	for _, e := range cfg.Known {
-		n.listed(e)
-	}
 	var err error
 	n.clients, err = listen(cfg.Listen, clientSink{n})
 	if err != nil {
 		return nil, fmt.Errorf("viewers: %w", err)
 	}
+	n.share()
+	for _, e := range cfg.Known {
+		n.listed(e)
+	}
 	return n, nil
 }
 
@@ -103,6 +106,15 @@
 	}
 	n.viewers.Limit(conns)
 	n.servers.Limit(links)
+	if n.cfg.Sockets > 0 { // a burst may pass the owner's limit, and only this one, as far as the reserve allows
+		n.clients.most.Store(int64(conns + reserve/2))
+	}
+}
+
+// waits tells whether a request's client is there: asked where a set-up's bytes go out.
+func (n *Node) waits(session uint64) bool {
+	conn, ok := n.viewers.Conn(session)
+	return ok && n.clients.waits(conn, session)
 }
 
 // now is the module's clock: Unix time at the start, monotonic from there.
@@ -123,9 +135,6 @@
 	return <-served
 }
 
-// Reload has the configuration read again; Leave tells that the front is to go.
-func (n *Node) Reload() { n.queue.Force(reload{}) }
-
 // Leave has the front run on until nothing can be owed.
 func (n *Node) Leave() { n.queue.Force(leave{}) }
 
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -26,6 +26,7 @@
 	stop    context.CancelFunc
 	done    chan error
 	ids     uint64
+	base    int // items that waited for the owner when it was held
 }
 
 const settingsJSON = `{"fleet-size":1,"me":0,"discovery":"automatic","zones":["z"],"shapes":["k"],"realms":[],
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -56,6 +57,7 @@
 			return
 		}
 		if len(batch) == batchMost {
+			runtime.Gosched() // the sockets' readers may have the words that make the rest of the queue idle
 			continue
 		}
 		wait := time.Duration(tickAt - now)
@@ -85,7 +87,8 @@
 		return true
 	}
 	waiting, _, _ := n.queue.Stats()
-	return n.core.Open() == 0 && n.core.Held() == 0 && waiting == 0 && now >= n.saidAt+leaveQuiet && !n.viewers.Halves() && n.clients.idle()
+	return n.core.Open() == 0 && n.core.Held() == 0 && waiting == 0 && now >= n.saidAt+leaveQuiet && !n.viewers.Halves() &&
+		n.clients.drained()
 }
 
 func (n *Node) handle(item any) {
@@ -97,7 +100,8 @@
 		n.viewers.Accepted(now, e.conn)
 	case said:
 		n.saidAt = now
-		n.viewers.Received(now, e.read, e.conn, e.list, e.broken, e.partial, n.core.Known)
+		e.from.heard(e.list)
+		n.viewers.Received(now, e.read, e.from.id, e.list, e.broken, e.partial, n.core.Known)
 	case left:
 		n.viewers.Lost(now, e.conn)
 	case connected:
@@ -117,7 +121,9 @@
 	case feedSaid:
 		n.follow.Received(now, e.conn, e.lines, e.broken)
 	case reload:
-		n.reload(now)
+		n.reload()
+	case reloaded:
+		n.reloaded(now, e)
 	case leave:
 		if n.leaving == 0 {
 			n.leaving = now
@@ -183,6 +189,7 @@
 	if a, ok := e.(front.Adopt); ok {
 		if !n.servers.Adopt(now, front.Setup{Session: a.ID, Server: a.Server, Title: a.Title, Class: a.Class, Viewer: a.Viewer, Name: a.Name}) {
 			n.log.Warn().Str("session", wire.Sid(a.ID)).Msg("handed over at a server that is not known")
+			n.viewers.Do(now, front.Over{Session: a.ID, Why: front.WhyLost}) // its client would hold it for ever
 			return
 		}
 	}
@@ -240,14 +247,3 @@
 	n.share()
 	n.carry(n.core.Step(now, front.Listed{List: policy.List{Kind: kind, Entries: entries}}))
 }
-
-// reload reads the configuration again. A file that can't be used changes nothing.
-func (n *Node) reload(now front.Time) {
-	c, err := Load(n.path)
-	if err != nil {
-		n.log.Error().Err(err).Msg("configuration not taken; the old one stands")
-		return
-	}
-	n.log.Info().Str("journal", c.Journal).Msg("configuration read again")
-	n.follow.Moved(now, c.Journal)
-}
--- a/internal/platform/node/sockets.go
+++ b/internal/platform/node/sockets.go
@@ -20,7 +20,7 @@
 type (
 	accepted struct{ conn uint64 }
 	said     struct {
-		conn    uint64
+		from    *client
 		read    front.Time
 		list    []viewers.In
 		broken  error
@@ -44,7 +44,6 @@
 		lines  [][]byte
 		broken error
 	}
-	reload  struct{}
 	leave   struct{}
 	inspect struct{ reply chan Snapshot }
 )
@@ -55,9 +54,9 @@
 
 func (k clientSink) left(conn uint64) { k.n.queue.Force(left{conn}) }
 
-func (k clientSink) said(conn uint64, list []viewers.In, broken error, partial bool) {
+func (k clientSink) said(from *client, list []viewers.In, broken error, partial bool) {
 	// Lines of one connection keep their order: a request and the word that it is given up must not change places.
-	k.n.queue.Put(admit.News, said{conn, k.n.now(), list, broken, partial})
+	k.n.queue.Put(admit.News, said{from, k.n.now(), list, broken, partial})
 }
 
 // dial opens a connection to a server.
--- a/internal/platform/servers/gone.go
+++ b/internal/platform/servers/gone.go
@@ -19,8 +19,12 @@
 				leaving: map[uint64]Time{}, given: map[uint64]Time{}, doomed: map[uint64]Time{}}
 			d.lines[s.ID] = l
 			d.order = nil
+			d.byAddr[s.Addr] = s.ID
 		}
 		l.drains, l.gone = s.Drains, s.Gone
+		if s.Gone && d.byAddr[l.addr] == s.ID {
+			delete(d.byAddr, l.addr)
+		}
 		if s.Started > l.started { // another process: what the old one played is over
 			l.started = s.Started
 			for _, id := range sorted(l.live) {
@@ -36,11 +40,21 @@
 			l.refused, l.silent = 0, 0
 		}
 		if s.Addr != "" && s.Addr != l.addr {
+			if d.byAddr[l.addr] == s.ID {
+				delete(d.byAddr, l.addr)
+			}
 			l.addr = s.Addr
+			if !s.Gone {
+				d.byAddr[l.addr] = s.ID
+			}
 			for _, id := range sorted(l.links) {
 				l.links[id].stale = true
 			}
-			l.cur = nil
+			// Danger: a connect to the old address that is under way may end at another server's process, and what waits would be
+			// written there. Its connection is closed as it comes; another connect is made.
+			l.cur, l.dialing = nil, 0
+			l.refused, l.silent, l.dialAt = 0, 0, 0
+			d.wanted(l)
 		}
 	}
 }
@@ -68,6 +82,13 @@
 	return false
 }
 
+// displaced tells whether a server that is still listed has lost its address to one that was listed later: the word that it left
+// is late, and who answers there now is the other.
+func (d *Desk) displaced(l *line) bool {
+	id, ok := d.byAddr[l.addr]
+	return ok && id != l.server
+}
+
 // dead ends what a server played: its process is gone, or its machine. Should it play on after all, for nobody, it is
 // told to end that as soon as a connection stands.
 func (d *Desk) dead(l *line) {
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -27,6 +27,9 @@
 	Fields    []string // names of a report's values, in the module's order
 	Connect   Time     // a connection must stand within
 	ProbeWait Time     // a test unanswered for so long has failed
+
+	Waits func(session uint64) bool // whether the client of a request is still there; nil: it is
+	Ended func(conn uint64) bool    // whether the other side of a connection has ended it, read or not; nil: it has not
 }
 
 // Spans of the dialogue. What a server is trusted with is the module's matter; these only tell when a socket is of no
@@ -71,6 +74,7 @@
 	cfg      Config
 	now      Time
 	lines    map[uint32]*line
+	byAddr   map[string]uint32   // who was listed last at an address, and has not left it
 	order    []uint32            // ids of lines, sorted; nil: to be made anew
 	attempts map[uint64]*attempt // by session: waiting, out or playing
 	most     int                 // connections that stand or are being opened
@@ -84,6 +88,7 @@
 type Stats struct {
 	Dialed, Crowded, Refused, Unanswered, Broke, Lost, Spoilt, Stuck, Late, Again uint64
 	Tests, Reports, Shorts                                                        uint64 // tests sent, reports read, notes of short delivery
+	Left                                                                          uint64 // set-ups not sent: their client had gone
 }
 
 // line is the dialogue with one server.
@@ -138,7 +143,7 @@
 
 // New makes a desk that knows no servers.
 func New(cfg Config) *Desk {
-	return &Desk{cfg: cfg, lines: map[uint32]*line{}, attempts: map[uint64]*attempt{}, most: math.MaxInt}
+	return &Desk{cfg: cfg, lines: map[uint32]*line{}, byAddr: map[string]uint32{}, attempts: map[uint64]*attempt{}, most: math.MaxInt}
 }
 
 // Take gives what has come up since the last call: what the shell is to do, in order and before the events are
--- a/internal/platform/servers/setups.go
+++ b/internal/platform/servers/setups.go
@@ -28,8 +28,31 @@
 	d.dial(l, true)
 }
 
+// write sends a set-up on the connection that carries what is new. What forbids it is looked at here, where its bytes go
+// out: whatever was true when its server was chosen may have changed while it waited.
 func (d *Desk) write(l *line, a *attempt) {
 	e := &a.setup
+	switch {
+	case l.drains || l.gone || d.displaced(l):
+		// Danger: sent after the grace, it would be new work for a server that leaves, or reach another at its address.
+		d.end(a, fate.Of(fate.Unsent, fate.Withdrawn, 0), nil)
+		return
+	case d.cfg.Waits != nil && !d.cfg.Waits(e.Session):
+		// Danger: its client has gone, and the word of that is still behind others in the owner's queue, or unread: a server
+		// would play for nobody, and the operators count it. The core hears that the client left before it hears of the attempt.
+		d.Stats.Left++
+		d.news = append(d.news, front.Leave{Session: e.Session})
+		d.end(a, fate.Of(fate.Unsent, fate.Withdrawn, 0), nil)
+		return
+	case !a.again && d.cfg.Ended != nil && d.cfg.Ended(l.cur.conn):
+		// Danger: written to a connection that its server has ended, it could not be told from one that ran, and a paid one
+		// would fail. It waits once for the next; the end of this one is read as it comes.
+		d.Stats.Again++
+		a.again = true
+		l.waiting = append(l.waiting, a)
+		d.retire(l, l.cur)
+		return
+	}
 	m := &wire.Message{Type: wire.SetUp, Session: e.Session}
 	if e.Class >= 0 && e.Class < len(d.cfg.Classes) {
 		m.Add(wire.ParamClass, d.cfg.Classes[e.Class])
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -25,6 +25,7 @@
 	Silent   Time                        // a connection that never said anything is closed after
 	Half     Time                        // a line that stays half so long is an error
 	Idle     Time                        // a connection without sessions is closed after so long without a word
+	Quiet    func(conn uint64) bool      // whether nothing that came on a connection waits to be read or handed on; nil: nothing does
 }
 
 // recentFor is how long the ids of sessions that are over are known, so that words that cross are not taken for bad ones.
@@ -48,6 +49,7 @@
 	conns    map[uint64]*client
 	sessions map[uint64]*session
 	owed     map[uint64]owed // releases that no connection could carry
+	early    map[uint64]early
 	recent   map[uint64]Time
 	order    []uint64 // of recent
 	most     int      // connections held
@@ -86,7 +88,7 @@
 // New makes a desk without connections.
 func New(cfg Config) *Desk {
 	d := &Desk{cfg: cfg, classes: map[string]int{}, conns: map[uint64]*client{}, sessions: map[uint64]*session{},
-		owed: map[uint64]owed{}, recent: map[uint64]Time{}, most: math.MaxInt}
+		owed: map[uint64]owed{}, early: map[uint64]early{}, recent: map[uint64]Time{}, most: math.MaxInt}
 	for i, name := range cfg.Classes {
 		d.classes[name] = i
 	}
@@ -107,6 +109,7 @@
 		return
 	}
 	delete(d.sessions, sid)
+	delete(d.early, sid)
 	if c := d.conns[s.conn]; c != nil {
 		delete(c.open, sid)
 		if s.standing {
@@ -127,6 +130,15 @@
 	}
 }
 
+// Conn gives the connection on which a request waits for its answer.
+func (d *Desk) Conn(session uint64) (conn uint64, ok bool) {
+	s := d.sessions[session]
+	if s == nil || s.standing {
+		return 0, false
+	}
+	return s.conn, true
+}
+
 // Counts tells how many connections, sessions, ids of ended sessions and releases owed the desk holds.
 func (d *Desk) Counts() (conns, sessions, recent, owed int) {
 	return len(d.conns), len(d.sessions), len(d.recent), len(d.owed)
--- a/internal/platform/wire/line.go
+++ b/internal/platform/wire/line.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode/utf8"
@@ -197,3 +198,24 @@
 	s.buf = s.buf[nl+1:]
 	return bytes.TrimSuffix(line, []byte("\r")), nil
 }
+
+// TakesBack tells whether what was fed and is no whole line yet, with bytes that follow it, holds a line that closes a session. It
+// changes nothing: the bytes are fed when they are read.
+func (s *Splitter) TakesBack(next []byte, session uint64) bool {
+	if s.err != nil {
+		return false
+	}
+	sid := []byte(Sid(session))
+	for rest := slices.Concat(s.buf, next); ; {
+		nl := bytes.IndexByte(rest, '\n')
+		if nl < 0 || nl >= s.most {
+			return false
+		}
+		if line := bytes.TrimSuffix(rest[:nl], []byte("\r")); bytes.Contains(line, sid) {
+			if l, err := ParseLine(line); err == nil && l.Msg == LineClose && l.Sid == session {
+				return true
+			}
+		}
+		rest = rest[nl+1:]
+	}
+}
