Settings that leave nothing to serve end the start with their key; descriptors kept in a flood

A missing uplink is no limit now; what leaves nothing to serve ends the start with one line that names the key. Settings that do not say what pushes a server over pace nothing: a server that started got no set-up for its whole warm-up.

Tried and left: closing them in netpoll's OnPrepare, which logs a line each for a descriptor that it had not registered.

--- a/cmd/tealledge/platform_test.go
+++ b/cmd/tealledge/platform_test.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-const platformSettings = `{"family-info":{"level-kb":[100,200],"level-worth":[0.5,1],"positions":1,"shelves":1},
+const platformSettings = `{"family-info":{"level-kb":[100,200],"level-worth":[0.5,1],"positions":1,"shelves":1,"weight-kb":3000},
 "request-classes":[{"name":"safe","effect":"safe","importance":1,"slo-ns":1000000000,"deadline-ns":2000000000}]}`
 
 // lockedBuffer may be read while a process writes to it.
@@ -37,9 +37,9 @@
 
 // The program itself, as the platform starts and signals it.
 func TestThePlatformsSignals(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "tealledge")
-	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v %s", err, out)
+	bin, err := program()
+	if err != nil {
+		t.Fatal(err)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
 	if err != nil {
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -142,8 +142,8 @@
 	c.nextID++
 	wait := a.Wait
 	if a.Class >= 0 && a.Class < len(c.cfg.Settings.Classes) {
-		most := c.cfg.Settings.Classes[a.Class].Deadline
-		if wait <= 0 || wait > most {
+		// A class without a deadline waits as long as its player says.
+		if most := c.cfg.Settings.Classes[a.Class].Deadline; wait <= 0 || most > 0 && wait > most {
 			wait = most
 		}
 	}
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"runtime"
 	"slices"
 	"sync"
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.ln = ln
+	c.ln = gate{ln, c}
 	if c.loop, err = netpoll.NewEventLoop(c.request, netpoll.WithOnPrepare(c.prepare), netpoll.WithOnConnect(c.connect)); err != nil {
 		ln.Close()
 		return nil, err
@@ -72,14 +73,31 @@
 	return c, nil
 }
 
-// prepare counts a connection's descriptor before anything else is done. Danger: the owner closes those past the limit, but it may
-// be busy; a flood would meanwhile take what is reserved for servers and the list. Harm: in a flood a viewer is closed on.
+// gate closes connections past the limit as they are accepted, and counts the others.
+type gate struct {
+	netpoll.Listener
+	c *clients
+}
+
+// Accept gives a connection, or none. Danger: the owner closes those past its own limit, but it may be busy; a flood would
+// meanwhile take what is reserved for servers and the list. Harm: in a flood a viewer is closed on.
+func (g gate) Accept() (net.Conn, error) {
+	conn, err := g.Listener.Accept()
+	if conn == nil || err != nil {
+		return conn, err
+	}
+	if most := g.c.most.Load(); most > 0 && g.c.held.Load() >= most {
+		g.c.shed.Add(1)
+		conn.Close()
+		return nil, nil // none for now: the next look at the listener comes at once
+	}
+	g.c.held.Add(1)
+	return conn, nil
+}
+
+// prepare comes before anything else is done with a connection that was let in.
 func (c *clients) prepare(nc netpoll.Connection) context.Context {
 	pipe.OnEnd(nc, func() { c.held.Add(-1) })
-	if held, most := c.held.Add(1), c.most.Load(); most > 0 && held > most {
-		c.shed.Add(1)
-		nc.Close()
-	}
 	return context.Background()
 }
 
--- a/internal/settings/json.go
+++ b/internal/settings/json.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -44,12 +45,43 @@
 		names.Fields = texts(t["fields"])
 	}
 	s = p.read()
-	if len(s.Classes) == 0 || len(s.RungKB) == 0 {
-		return s, names, p.bad, fmt.Errorf("settings: %d classes and %d rungs, nothing could be served", len(s.Classes), len(s.RungKB))
+	if err := servable(s, names); err != nil {
+		return s, names, p.bad, fmt.Errorf("settings: %w", err)
 	}
 	return s, names, p.bad, nil
 }
 
+// servable tells what of the settings leaves nothing that could be served, by its key. Danger: a front that is ready, and refuses
+// all that it is asked.
+func servable(s policy.Settings, names Names) error {
+	switch {
+	case len(s.Classes) == 0:
+		return errors.New("request-classes: none")
+	case len(s.RungKB) == 0:
+		return errors.New("family-info.level-kb: none")
+	case len(s.RungWorth) < len(s.RungKB):
+		return fmt.Errorf("family-info.level-worth: %d values for %d of level-kb", len(s.RungWorth), len(s.RungKB))
+	case s.Cells < 1:
+		return errors.New("family-info.positions: none")
+	case s.WeightKB <= 0:
+		return errors.New("family-info.weight-kb: none, a server could carry nothing")
+	}
+	seen := map[string]bool{}
+	for i, c := range s.Classes {
+		name := names.Classes[i]
+		switch {
+		case name == "":
+			return fmt.Errorf("request-classes.%d.name: none", i)
+		case seen[name]:
+			return fmt.Errorf("request-classes.%d.name: %.64q names another class too", i, name)
+		case c.Floor >= len(s.RungKB):
+			return fmt.Errorf("family-info.lowest-rung: %d for class %.64q, of %d rungs", c.Floor, name, len(s.RungKB))
+		}
+		seen[name] = true
+	}
+	return nil
+}
+
 func (p *pairs) named(list string) (out []string) {
 	for i := range p.count(list + ".count") {
 		out = append(out, p.m[list+"."+strconv.Itoa(i)+".name"])
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,9 @@
 	s.OverShare = p.num("over-share-worth")
 	s.RungKB, s.RungWorth = p.nums(fam+"level-kb"), p.nums(fam+"level-worth")
 	s.FleetKB, s.RackKB, s.WeightKB = p.num(fam+"fleet-kb"), p.num(fam+"rack-link-kb"), p.num(fam+"weight-kb")
+	if p.m[fam+"rack-link-kb"] == "" {
+		s.RackKB = noLimit
+	}
 	s.Racks, s.Cells = p.count(fam+"shelves"), p.count(fam+"positions")
 	s.KindSlots = p.nums(fam + "kind-slots")
 	s.SeeLate, s.TellEvery = p.span(fam+"see-ns"), p.span(fam+"reports-every-ns")
@@ -80,6 +83,9 @@
 	return s
 }
 
+// noLimit is an uplink's size where none is stated: it is never what is short.
+const noLimit = 1e15
+
 // maxCount bounds how many items a settings list may claim to have.
 const maxCount = 10_000
 
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -25,3 +25,20 @@
 		}
 	}
 }
+
+// Settings that do not say what pushes a server over pace nothing: a server that had failed or started got no set-up for the
+// whole of its warm-up.
+func TestNothingIsPacedWhereNothingFalls(t *testing.T) {
+	for _, drop := range []func(*Settings){func(s *Settings) { s.ColdTimes = 0 }, func(s *Settings) { s.FallSpan = 0 }} {
+		set := cold()
+		drop(&set)
+		w := newWorld(t, set)
+		w.now += 60 * Second
+		told := entry(2)
+		told.Started = w.now
+		w.do(List{Kind: ListDelta, Entries: []Entry{told}})
+		if n := w.sendsIn(Second, 2); n < 10 {
+			t.Errorf("%d set-ups", n)
+		}
+	}
+}
--- a/policy/health.go
+++ b/policy/health.go
@@ -43,7 +43,8 @@
 func (f *Front) paced(v *server) bool {
 	carries := v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2)
 	unknown := f.now-f.born < f.set.ColdSpan && !carries && !f.starts
-	return f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
+	falls := f.set.ColdTimes > 0 && f.set.FallSpan > 0 // else nothing is stated that pushes a server over
+	return falls && f.set.ColdSpan > 0 && (v.failed || f.now < v.coldUntil || unknown)
 }
 
 // cold guards a server that may be cold from being pushed over: one token bucket, this front's part of the
