--- a/internal/platform/journal/journal.go
+++ b/internal/platform/journal/journal.go
@@ -15,7 +15,7 @@
 // Time is a clock reading or span in nanoseconds.
 type Time = policy.Time
 
-// Spans: the service writes its number each second; a break is answered at once, further ones with a growing pause.
+// Spans: the service writes its number each second; a break is answered within pauseMin, further ones with a growing pause.
 const (
 	quietFor  = 1700 * policy.Millisecond
 	connectIn = 500 * policy.Millisecond
@@ -90,14 +90,16 @@
 	f.conn++ // what the old one still brings is nobody's
 }
 
-// again has a connect tried after a pause.
+// again has a connect tried after a pause, the first one too. Danger: when the service ends all its connections, all fronts would
+// come back in one moment. Harm: the list is heard of up to pauseMin later.
 func (f *Follower) again(now Time) {
 	if f.up && now-f.stoodAt >= steady {
 		f.pause = 0
 	}
 	f.shut()
+	f.pause = max(f.pause, pauseMin)
 	f.nextAt = now + Time(float64(f.pause)*(0.5+f.draw()/2))
-	f.pause = min(max(2*f.pause, pauseMin), pauseMax)
+	f.pause = min(2*f.pause, pauseMax)
 }
 
 // Connected tells that the connection stands.
--- a/internal/platform/node/node_test.go
+++ b/internal/platform/node/node_test.go
@@ -39,10 +39,10 @@
 "request-classes":[{"name":"safe","effect":"safe","importance":1,"slo-ns":1500000000,"deadline-ns":3000000000},
  {"name":"paid","effect":"unsafe","importance":2,"slo-ns":1500000000,"deadline-ns":2000000000}]}`
 
-func (x *site) write(journal string, sockets int) {
+func (x *site) write(journal string, sockets int, settings string) {
 	last, events := x.journal.Last()
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":%d},
-		"journal":"%s","known":{"pos":%d,"entries":%s},"settings":%s}`, 1, sockets, journal, last, events, settingsJSON)
+		"journal":"%s","known":{"pos":%d,"entries":%s},"settings":%s}`, 1, sockets, journal, last, events, settings)
 	if err := os.WriteFile(x.path, []byte(text), 0o600); err != nil {
 		x.t.Fatal(err)
 	}
@@ -50,6 +50,12 @@
 
 // newSite starts a front and three servers that hold every title.
 func newSite(t *testing.T, sockets int) *site {
+	t.Helper()
+	return newSiteWith(t, sockets, settingsJSON)
+}
+
+// newSiteWith is newSite on other settings.
+func newSiteWith(t *testing.T, sockets int, settings string) *site {
 	t.Helper()
 	x := &site{t: t, w: platformsim.NewWorld("safe", "paid"), path: filepath.Join(t.TempDir(), "config.json"), done: make(chan error, 1), ids: 100}
 	x.w.Rec.Add(audit.Rules{Classes: []audit.Class{{Name: "safe", Deadline: 3 * time.Second}, {Name: "paid", Paid: true, Deadline: 2 * time.Second}},
@@ -66,7 +72,7 @@
 		x.servers = append(x.servers, s)
 	}
 	x.journal.Tell(true, wire.HostReady, x.servers...)
-	x.write(x.journal.Addr(), sockets)
+	x.write(x.journal.Addr(), sockets, settings)
 	cfg, err := Load(x.path)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -83,7 +83,7 @@
 	if n.leaving == 0 || now < n.leaving+leaveAfter {
 		return false
 	}
-	if now >= n.leaving+leaveMost {
+	if now >= n.leaving+leaveMost && n.core.Open() == 0 { // sessions that stand may last for ever; requests have a deadline
 		return true
 	}
 	waiting, _, _ := n.queue.Stats()
--- a/internal/platform/node/troubles_test.go
+++ b/internal/platform/node/troubles_test.go
@@ -104,7 +104,7 @@
 	x.look()
 	old := x.journal
 	x.journal = next
-	x.write(next.Addr(), 1024)
+	x.write(next.Addr(), 1024, settingsJSON)
 	x.node.Reload()
 	next.Tell(false, wire.HostReady, x.servers[1])
 	x.until("told at the new address", func() bool { return x.look().Ready == 2 })
--- a/internal/standin/platformsim/journal.go
+++ b/internal/standin/platformsim/journal.go
@@ -105,13 +105,24 @@
 func (j *Journal) Tell(whole bool, health string, list ...*Server) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	e := wire.Event{Pos: uint64(len(j.lines) + 1), Hosts: &wire.Hosts{Seq: uint64(len(j.lines)), Whole: whole}}
 	words := map[string]string{wire.HostReady: "ready", wire.HostDraining: "draining", wire.HostGone: "gone"}
+	var hosts []wire.Host
 	for _, s := range list {
-		e.Hosts.Hosts = append(e.Hosts.Hosts, wire.Host{Name: s.Name(), Dial: s.Addr(), Zone: "z", Kind: "k", Cell: int(s.ID), Health: health, Share: 10})
+		hosts = append(hosts, wire.Host{Name: s.Name(), Dial: s.Addr(), Zone: "z", Kind: "k", Cell: int(s.ID), Health: health, Share: 10})
 		j.w.add(record.Event{Who: "journal", What: record.Told, Server: s.ID, Health: words[health]})
 	}
-	b, _ := json.Marshal(e)
+	j.add(whole, hosts)
+}
+
+// List adds an event about servers of others' making.
+func (j *Journal) List(whole bool, hosts ...wire.Host) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.add(whole, hosts)
+}
+
+func (j *Journal) add(whole bool, hosts []wire.Host) {
+	b, _ := json.Marshal(wire.Event{Pos: uint64(len(j.lines) + 1), Hosts: &wire.Hosts{Seq: uint64(len(j.lines)), Whole: whole, Hosts: hosts}})
 	j.lines = append(j.lines, string(b))
 	j.flush()
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -95,8 +95,9 @@
 			v.link.told, v.openUntil, v.backoff, v.failed = false, 0, 0, false
 			v.pace = bucket{tokens: f.rng.Float64(), at: f.now}
 		}
-		if e.Started > 0 && e.Started+f.set.ColdSpan > f.now {
-			v.coldUntil = max(v.coldUntil, e.Started+f.set.ColdSpan)
+		// A start that lies ahead is of a clock that was set: it was not before now.
+		if started := min(e.Started, f.now); started > 0 && started+f.set.ColdSpan > f.now {
+			v.coldUntil = max(v.coldUntil, started+f.set.ColdSpan)
 		}
 	}
 	f.shelve()
