--- a/internal/platform/node/look.go
+++ b/internal/platform/node/look.go
@@ -20,6 +20,7 @@
 	Attempts, Lines, Links     int
 	Conns, Sessions, Recent    int
 	Owed, Hosts, Owners, Queue int
+	Shed                       uint64 // connections closed as they were accepted
 	Pos                        uint64
 	Viewers                    viewers.Stats
 	Servers                    servers.Stats
@@ -32,6 +33,7 @@
 	s.Conns, s.Sessions, s.Recent, s.Owed = n.viewers.Counts()
 	s.Hosts, s.Owners, s.Pos = n.hosts.len(), len(n.owners), n.follow.Pos()
 	s.Queue, _, _ = n.queue.Stats()
+	s.Shed = n.clients.shed.Load()
 	s.Viewers, s.Servers, s.Journal = n.viewers.Stats, n.servers.Stats, n.follow.Stats
 	return s
 }
