--- a/internal/platform/node/bench_test.go
+++ b/internal/platform/node/bench_test.go
@@ -27,7 +27,7 @@
 				x.core.Advance(now)
 				x.servers.Tick(now)
 				x.viewers.Tick(now)
-				x.follow.Tick(now)
+				x.watch.Tick(now)
 				x.servers.Take()
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "kB-held")
--- a/internal/platform/node/gone_test.go
+++ b/internal/platform/node/gone_test.go
@@ -17,7 +17,7 @@
 // behind. It gives what lets it go on.
 func (x *site) hold() (free func()) {
 	x.t.Helper()
-	x.until("the journal is followed", func() bool { return x.look().Journal.Dials == 1 })
+	x.until("the journal is followed", func() bool { return x.look().Watch.Dials == 1 })
 	x.journal.Silence(true) // its numbers would be counted for what a test waits for
 	taken, reply := make(chan Snapshot, 1), make(chan Snapshot)
 	x.node.queue.Force(inspect{taken})
--- a/internal/platform/node/look.go
+++ b/internal/platform/node/look.go
@@ -6,9 +6,9 @@
 	"strings"
 
 	"tealledge/internal/front"
-	"tealledge/internal/platform/journal"
 	"tealledge/internal/platform/servers"
 	"tealledge/internal/platform/viewers"
+	"tealledge/internal/platform/watch"
 )
 
 // A look inside, for logs and tests.
@@ -24,17 +24,17 @@
 	Pos                        uint64
 	Viewers                    viewers.Stats
 	Servers                    servers.Stats
-	Journal                    journal.Stats
+	Watch                      watch.Stats
 }
 
 func (n *Node) snapshot() (s Snapshot) {
 	s.Stats, s.Open, s.Held, s.Ready = n.core.Stats(), n.core.Open(), n.core.Held(), n.core.Ready()
 	s.Attempts, s.Lines, s.Links = n.servers.Counts()
 	s.Conns, s.Sessions, s.Recent, s.Owed = n.viewers.Counts()
-	s.Hosts, s.Owners, s.Pos = n.hosts.len(), len(n.owners), n.follow.Pos()
+	s.Hosts, s.Owners, s.Pos = n.hosts.len(), len(n.owners), n.watch.Pos()
 	s.Queue, _, _ = n.queue.Stats()
 	s.Shed = n.clients.shed.Load()
-	s.Viewers, s.Servers, s.Journal = n.viewers.Stats, n.servers.Stats, n.follow.Stats
+	s.Viewers, s.Servers, s.Watch = n.viewers.Stats, n.servers.Stats, n.watch.Stats
 	return s
 }
 
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -13,9 +13,9 @@
 	"tealledge/internal/front"
 	"tealledge/internal/inbox"
 	"tealledge/internal/pipe"
-	"tealledge/internal/platform/journal"
 	"tealledge/internal/platform/servers"
 	"tealledge/internal/platform/viewers"
+	"tealledge/internal/platform/watch"
 	"tealledge/policy"
 )
 
@@ -53,7 +53,7 @@
 	core    *front.Core
 	servers *servers.Desk
 	viewers *viewers.Desk
-	follow  *journal.Follower
+	watch   *watch.Watch
 	links   *pipe.Links // to servers
 	feed    *pipe.Links // to the journal service
 	clients *clients
@@ -82,7 +82,7 @@
 		Waits: n.waits, Ended: func(conn uint64) bool { return n.links.Ended(conn) }})
 	n.viewers = viewers.New(viewers.Config{Settings: cfg.Settings, Classes: cfg.Names.Classes, Host: n.hosts.number, OpenMost: openMost,
 		Silent: silentMost, Half: halfMost, Idle: idleMost, Quiet: func(conn uint64) bool { return n.clients.quiet(conn) }})
-	n.follow = journal.New(cfg.Journal, cfg.Pos, rand.Float64)
+	n.watch = watch.New(cfg.Journal, cfg.Pos, rand.Float64)
 	n.links, n.feed = pipe.NewLinks(linkBytes, linkWrite), pipe.NewLinks(linkBytes, linkWrite)
 	var err error
 	n.clients, err = listen(cfg.Listen, clientSink{n})
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -45,7 +45,7 @@
 			tickAt = now + front.Time(tickEvery)
 			n.servers.Tick(now)
 			n.viewers.Tick(now)
-			n.follow.Tick(now)
+			n.watch.Tick(now)
 			n.settle()
 		}
 		if now >= statsAt {
@@ -115,11 +115,11 @@
 		n.servers.Lost(now, n.owners[e.conn], e.conn, e.begun)
 		delete(n.owners, e.conn)
 	case feedUp:
-		n.follow.Connected(now, e.conn)
+		n.watch.Connected(now, e.conn)
 	case feedLost:
-		n.follow.Lost(now, e.conn)
+		n.watch.Lost(now, e.conn)
 	case feedSaid:
-		n.follow.Received(now, e.conn, e.lines, e.broken)
+		n.watch.Received(now, e.conn, e.lines, e.broken)
 	case reload:
 		n.reload()
 	case reloaded:
@@ -138,7 +138,7 @@
 // settle carries out what the dialogues have come up with, until all is quiet.
 func (n *Node) settle() {
 	for {
-		feed, events := n.follow.Take()
+		feed, events := n.watch.Take()
 		for _, a := range feed {
 			switch {
 			case a.Dial != "":
--- a/internal/platform/node/reload.go
+++ b/internal/platform/node/reload.go
@@ -57,5 +57,5 @@
 		return
 	}
 	n.log.Info().Str("journal", e.cfg.Journal).Msg("configuration read again")
-	n.follow.Moved(now, e.cfg.Journal)
+	n.watch.Moved(now, e.cfg.Journal)
 }
--- a/internal/platform/node/troubles_test.go
+++ b/internal/platform/node/troubles_test.go
@@ -84,14 +84,14 @@
 
 func TestTroublesOfTheJournal(t *testing.T) {
 	x := newSite(t, 1024)
-	x.until("followed", func() bool { return x.look().Journal.Dials == 1 })
+	x.until("followed", func() bool { return x.look().Watch.Dials == 1 })
 	x.journal.Break()
 	x.journal.Tell(false, wire.HostDraining, x.servers[0])
 	x.until("told after a break", func() bool { return x.look().Ready == 2 })
 	x.journal.Twice()
 	x.journal.Silence(true)
 	x.journal.Tell(false, wire.HostDraining, x.servers[1])
-	x.until("silence is noticed", func() bool { return x.look().Journal.Silences > 0 })
+	x.until("silence is noticed", func() bool { return x.look().Watch.Silences > 0 })
 	x.journal.Silence(false)
 	x.until("told after silence", func() bool { return x.look().Ready == 1 })
 
@@ -109,7 +109,7 @@
 	next.Tell(false, wire.HostReady, x.servers[1])
 	x.until("told at the new address", func() bool { return x.look().Ready == 2 })
 	if s := x.look(); s.Pos != 4 {
-		t.Errorf("%+v", s.Journal)
+		t.Errorf("%+v", s.Watch)
 	}
 	old.Close()
 	x.close()
--- a/internal/platform/journal/herd_test.go
+++ b/internal/platform/watch/herd_test.go
@@ -1,4 +1,4 @@
-package journal
+package watch
 
 import (
 	"math/rand"
--- a/internal/platform/journal/journal.go
+++ b/internal/platform/watch/watch.go
@@ -1,9 +1,9 @@
-// Package journal follows the operators' journal service: numbered events that change the server list. It is a pure
+// Package watch holds the watch on the server list, at the operators' journal service: numbered events that change the list. It is a pure
 // state machine; the shell dials, writes and reads as it is told.
 //
 // A line that breaks off, a number that skips one, or silence where each second brings a number, ends the connection;
 // the next one asks for what follows the last whole event.
-package journal
+package watch
 
 import (
 	"fmt"
@@ -34,8 +34,8 @@
 	Bytes  []byte
 }
 
-// Follower holds the one connection to the service.
-type Follower struct {
+// Watch holds the one connection to the service.
+type Watch struct {
 	addr    string
 	pos     uint64
 	conn    uint64
@@ -57,22 +57,22 @@
 type Stats struct{ Dials, Breaks, Silences, Unreadable, Twice, Gaps uint64 }
 
 // New makes a follower of the service at an address that has events up to pos; draw gives 0 to 1.
-func New(addr string, pos uint64, draw func() float64) *Follower {
-	return &Follower{addr: addr, pos: pos, draw: draw}
+func New(addr string, pos uint64, draw func() float64) *Watch {
+	return &Watch{addr: addr, pos: pos, draw: draw}
 }
 
 // Take gives what has come up since the last call: acts, and events in their order.
-func (f *Follower) Take() ([]Act, []wire.Event) {
+func (f *Watch) Take() ([]Act, []wire.Event) {
 	acts, out := f.acts, f.out
 	f.acts, f.out = nil, nil
 	return acts, out
 }
 
 // Pos is the number of the last event.
-func (f *Follower) Pos() uint64 { return f.pos }
+func (f *Watch) Pos() uint64 { return f.pos }
 
 // Moved tells that the service is at another address now: what is left at the old one is nothing new.
-func (f *Follower) Moved(now Time, addr string) {
+func (f *Watch) Moved(now Time, addr string) {
 	if addr == f.addr || addr == "" {
 		return
 	}
@@ -82,7 +82,7 @@
 	f.Tick(now)
 }
 
-func (f *Follower) shut() {
+func (f *Watch) shut() {
 	if f.conn != 0 {
 		f.acts = append(f.acts, Act{Conn: f.conn, Close: true})
 	}
@@ -92,7 +92,7 @@
 
 // again has a connect tried after a pause, the first one too. Danger: when the service ends all its connections, all fronts would
 // come back in one moment. Harm: the list is heard of up to pauseMin later.
-func (f *Follower) again(now Time) {
+func (f *Watch) again(now Time) {
 	if f.up && now-f.stoodAt >= steady {
 		f.pause = 0
 	}
@@ -103,7 +103,7 @@
 }
 
 // Connected tells that the connection stands.
-func (f *Follower) Connected(now Time, conn uint64) {
+func (f *Watch) Connected(now Time, conn uint64) {
 	if conn != f.conn || !f.dialing {
 		f.acts = append(f.acts, Act{Conn: conn, Close: true})
 		return
@@ -113,7 +113,7 @@
 }
 
 // Lost tells that a connection ended or could not be had.
-func (f *Follower) Lost(now Time, conn uint64) {
+func (f *Watch) Lost(now Time, conn uint64) {
 	if conn == f.conn && (f.up || f.dialing) {
 		f.Stats.Breaks++
 		f.again(now)
@@ -121,7 +121,7 @@
 }
 
 // Received takes whole lines; broken tells why the stream can't be read any further.
-func (f *Follower) Received(now Time, conn uint64, lines [][]byte, broken error) {
+func (f *Watch) Received(now Time, conn uint64, lines [][]byte, broken error) {
 	for _, line := range lines {
 		if conn != f.conn || !f.up {
 			return
@@ -135,7 +135,7 @@
 	}
 }
 
-func (f *Follower) line(now Time, line []byte) {
+func (f *Watch) line(now Time, line []byte) {
 	if len(line) == 0 {
 		return
 	}
@@ -158,7 +158,7 @@
 }
 
 // gap asks again for what was left out. It gives true if that was done in vain: then there is nothing to be had.
-func (f *Follower) gap(now Time, at uint64) bool {
+func (f *Watch) gap(now Time, at uint64) bool {
 	f.Stats.Gaps++
 	if f.gapAt != f.pos {
 		f.gapAt, f.gaps = f.pos, 0
@@ -171,7 +171,7 @@
 }
 
 // Tick lets time pass; it is to be called several times a second.
-func (f *Follower) Tick(now Time) {
+func (f *Watch) Tick(now Time) {
 	switch {
 	case f.up && now-f.heardAt >= quietFor:
 		f.Stats.Silences++
--- a/internal/platform/journal/journal_test.go
+++ b/internal/platform/watch/watch_test.go
@@ -1,4 +1,4 @@
-package journal
+package watch
 
 import (
 	"fmt"
@@ -17,7 +17,7 @@
 // rig plays the service and the shell.
 type rig struct {
 	t    *testing.T
-	f    *Follower
+	f    *Watch
 	now  Time
 	got  []uint64
 	said []string // lines written on the newest connection
