--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -16,11 +16,11 @@
 		e := entry(1)
 		e.Started = c.started
 		f.Handle(start, List{Kind: c.kind, Entries: []Entry{e, entry(2)}})
-		if got := f.paced(f.fleet.get(1)); got != c.paced {
+		if got := f.inSlowStart(f.fleet.get(1)); got != c.paced {
 			t.Errorf("%+v: paced %v", c, got)
 		}
 		f.Handle(start+Second, List{Kind: ListDelta, Entries: []Entry{{Server: 3, Cell: 2, Size: 1, Started: start + Second/2}}})
-		if !f.paced(f.fleet.get(3)) {
+		if !f.inSlowStart(f.fleet.get(3)) {
 			t.Error("one that was told started is not paced")
 		}
 	}
--- a/policy/health.go
+++ b/policy/health.go
@@ -37,10 +37,10 @@
 	return v.failed && (f.class(s).Paid || v.trial != nil)
 }
 
-// paced tells whether a server may be cold for all this front knows: it failed, it was told started, or this
-// front is itself new, was given no complete list that tells the starts, and has no report that the server
-// carries others' sessions, as one just started would not. Harm: such a front is slow to fill idle servers.
-func (f *Front) paced(v *server) bool {
+// inSlowStart tells whether a server may be cold for all this front knows: it failed, it was told started,
+// or this front is itself new, was given no complete list that tells the starts, and has no report that the
+// server carries others' sessions, as one just started would not. Harm: it is slow to fill idle servers.
+func (f *Front) inSlowStart(v *server) bool {
 	carries := v.link.told && f.others(&v.link) > min(busyIsWarm, f.mean/2)
 	unknown := f.now-f.born < f.set.ColdSpan && !carries && !f.starts
 	falls := f.set.ColdTimes > 0 && f.set.FallSpan > 0 // else nothing is stated that pushes a server over
@@ -49,28 +49,28 @@
 
 // cold guards a server that may be cold from being pushed over: one token bucket, this front's part of the
 // pace. Also covers crowds coming back to a server. Harm: it fills a little later than it could.
-func (f *Front) cold(v *server) bool { return f.paced(v) && f.fillPace(v) < 1 }
+func (f *Front) cold(v *server) bool { return f.inSlowStart(v) && f.slowStartTokens(v) < 1 }
 
-func (f *Front) fillPace(v *server) float64 {
+func (f *Front) slowStartTokens(v *server) float64 {
 	slots := 1.0
 	if v.Kind < len(f.set.KindSlots) {
 		slots = f.set.KindSlots[v.Kind]
 	}
 	fleet, span := float64(max(f.set.Fleet, 1)), float64(f.set.FallSpan)/float64(Second)
 	pushes := slots / (float64(f.set.ColdSpan) / float64(Second)) * f.set.ColdFrom * f.set.ColdTimes
-	perS, most := pushes*paceMargin/fleet, 1.0
+	perS, most := pushes*slowStartPart/fleet, 1.0
 	// Where a token of each front is more than it may be sent within the span, fronts start anywhere between
 	// two tokens, and one not used for that span lapses: saved up, they would come all at once.
 	many := fleet > pushes*span
 	if many {
 		most += perS * span
 	}
-	// A front younger than the server can't know what its earlier life sent there: it starts between two tokens too.
-	if v.pace.at == 0 && (many || f.born > v.Started) {
-		v.pace = bucket{tokens: f.rng.Float64(), at: f.now}
+	// A front younger than the server can't know what its earlier life sent there: it starts so too.
+	if v.slowStart.at == 0 && (many || f.born > v.Started) {
+		v.slowStart = bucket{tokens: f.rng.Float64(), at: f.now}
 	}
-	if v.pace.fill(f.now, perS, most) >= most && many {
-		v.pace.tokens = 0
+	if v.slowStart.fill(f.now, perS, most) >= most && many {
+		v.slowStart.tokens = 0
 	}
-	return v.pace.tokens
+	return v.slowStart.tokens
 }
--- a/policy/place.go
+++ b/policy/place.go
@@ -51,7 +51,7 @@
 // came too late, as to a front that stood still, is answered and not begun.
 func (f *Front) place(s *session) {
 	if f.now >= s.Deadline-lastTry || s.attempts > 0 && (s.attempts >= f.set.MaxAttempts ||
-		s.unsure && f.class(s).Paid || !f.mayRetry()) {
+		s.unsure && f.class(s).Paid || !f.withinRetryBudget()) {
 		f.giveUp(s)
 		return
 	}
@@ -98,10 +98,11 @@
 	}
 }
 
-// mayRetry keeps further attempts within a stated budget, against storms of retries, in every window that ends where one is
-// sent: it may wait for a connection until then, so those before count longer and requests shorter by that. A new
-// front can't know what its earlier life spent: for one window nothing is spare. Harm: few are tried again then.
-func (f *Front) mayRetry() bool {
+// withinRetryBudget keeps further attempts within a stated budget, against storms of retries, in every window
+// that ends where one is sent: it may wait for a connection until then, so those before count longer by that
+// and requests shorter. A new front can't know what its earlier life spent: for one window nothing is spare.
+// Harm: few are tried again then.
+func (f *Front) withinRetryBudget() bool {
 	if !f.set.Budgeted {
 		return true
 	}
@@ -114,9 +115,9 @@
 
 func (f *Front) send(s *session, v *server, rung int) {
 	f.waiting, s.holding = drop(f.waiting, s), 0
-	if f.paced(v) {
-		f.fillPace(v)
-		v.pace.tokens--
+	if f.inSlowStart(v) {
+		f.slowStartTokens(v)
+		v.slowStart.tokens--
 	}
 	if v.failed {
 		v.trial = s
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,7 @@
 	backoffMin, backoffMax = 1 * Second, 8 * Second // breaker's pauses: outages last 5 to 30 s
 	errorsTrip             = 2                      // failures that open it
 	hungShare, shareLeast  = 0.1, 0.5               // under it, it stands still; none tells more use than 2
-	paceMargin             = 0.5                    // part of the pushing-over pace all fronts may use
+	slowStartPart          = 0.5                    // part of the pushing-over pace all fronts may use
 	busyIsWarm             = 0.25                   // use by others that one just started lacks, at most
 
 	fullShare, shortNote  = 0.98, 0.95             // all is delivered; a share that calls for lower rungs
@@ -93,7 +93,7 @@
 		v, restarted := f.book(e)
 		if restarted { // what was known of the old process says nothing of the new one
 			v.link.told, v.openUntil, v.backoff, v.failed = false, 0, 0, false
-			v.pace = bucket{tokens: f.rng.Float64(), at: f.now}
+			v.slowStart = bucket{tokens: f.rng.Float64(), at: f.now}
 		}
 		// A start that lies ahead is of a clock that was set: it was not before now.
 		if started := min(e.Started, f.now); started > 0 && started+f.set.ColdSpan > f.now {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1010,7 +1010,7 @@
 	w := newWorld(t, set)
 	w.f.probes = 0
 	for _, v := range w.f.fleet.order {
-		v.pace = bucket{tokens: 0, at: w.now}
+		v.slowStart = bucket{tokens: 0, at: w.now}
 	}
 	p := of[Probe](w.do(Request{w.ask(1, 0)}))
 	if len(p) != lookAt {
@@ -1030,11 +1030,11 @@
 	v := w.f.fleet.get(1)
 	w.f.mean = 0.3
 	w.use(1, 0.2, 0.2)
-	if w.f.paced(v) {
+	if w.f.inSlowStart(v) {
 		t.Fatal("paced at two thirds of the mean use")
 	}
 	w.f.mean = 0.8
-	if !w.f.paced(v) {
+	if !w.f.inSlowStart(v) {
 		t.Fatal("not paced at a quarter of the mean use")
 	}
 }
--- a/policy/records.go
+++ b/policy/records.go
@@ -100,8 +100,8 @@
 	backoff   Time
 	trial     *session // the half-open breaker's one session
 	failed    bool     // seen failing, and no success since
-	coldUntil Time     // paced until then
-	pace      bucket
+	coldUntil Time     // in slow start until then
+	slowStart bucket
 	vacate    Time // it is to be empty by then; 0: it is not
 
 	raisedOn Time // report that the last look for lasting spare rested on
