--- a/internal/platform/viewers/connections_test.go
+++ b/internal/platform/viewers/connections_test.go
@@ -85,3 +85,18 @@
 		t.Errorf("%+v %+v", r.news, r.wrote[2])
 	}
 }
+
+// A release that is owed is not given to a connection that is closed in the same tick.
+func TestAReleaseOwedIsToldBeforeItsCarrierIsClosed(t *testing.T) {
+	r := newRig(t)
+	r.stands(1, 5)
+	r.d.Lost(r.now, 1)
+	r.do(front.Over{Session: 5, Why: front.WhyEnd})
+	r.accept(3)
+	r.stands(3, 8)
+	r.d.Limit(0)
+	r.pass(50 * ms)
+	if l := r.last(3); l.Msg != "close" || l.Sid != 5 || !r.closed[3] {
+		t.Errorf("%+v, closed %v", l, r.closed[3])
+	}
+}
