--- a/internal/platform/node/bench_test.go
+++ b/internal/platform/node/bench_test.go
@@ -37,14 +37,17 @@
 }
 
 // listedNode makes a front that knows n servers. It is not run.
-func listedNode(tb testing.TB, n int) *Node {
+func listedNode(tb testing.TB, n int) *Node { tb.Helper(); return listedNodeOf(tb, n, 608) }
+
+// listedNodeOf is listedNode with a limit of descriptors.
+func listedNodeOf(tb testing.TB, n, sockets int) *Node {
 	list := &wire.Hosts{Seq: 1, Whole: true}
 	for i := range n {
 		list.Hosts = append(list.Hosts, wire.Host{Name: fmt.Sprintf("s-%08x", i+1), Dial: fmt.Sprintf("127.0.0.1:%d", 20000+i), Zone: "z",
 			Kind: "k", Health: wire.HostReady, Share: 1})
 	}
-	cfg, err := Parse(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:1","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":608},
-		"known":{"pos":0,"entries":[]},"settings":%s}`, settingsJSON))
+	cfg, err := Parse(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:1","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":%d},
+		"known":{"pos":0,"entries":[]},"settings":%s}`, sockets, settingsJSON))
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/platform/node/clients_test.go
+++ b/internal/platform/node/clients_test.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// Of 64 descriptors the reserve left servers one connection in all.
+func TestASmallLimitLeavesServersTheirs(t *testing.T) {
+	x := listedNodeOf(t, 8, 64)
+	if conns, links := x.viewers.Limits(), x.servers.Limits(); conns < 64/3 || links < 2*8 || conns+links > 64-12 {
+		t.Errorf("%d connections of viewers, %d to servers", conns, links)
+	}
+	x.clients.close(context.Background())
+}
+
 func TestBadClientsAreAnsweredOrClosedAndUsualOnesServed(t *testing.T) {
 	x := newSite(t, 256)
 	bad := map[string]string{
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -100,14 +100,15 @@
 // the protocol gives them. It is done again as the list grows.
 func (n *Node) share() {
 	conns, links := connsMost, connsMost
-	if free := n.cfg.Sockets - reserve; n.cfg.Sockets > 0 {
+	kept := min(reserve, n.cfg.Sockets/4) // of a small limit the whole reserve would leave servers nothing
+	if free := n.cfg.Sockets - kept; n.cfg.Sockets > 0 {
 		conns = max(free-2*max(n.hosts.len(), hostsLeast), n.cfg.Sockets/3, 1)
 		links = max(free-conns, 1)
 	}
 	n.viewers.Limit(conns)
 	n.servers.Limit(links)
 	if n.cfg.Sockets > 0 { // a burst may pass the owner's limit, and only this one, as far as the reserve allows
-		n.clients.most.Store(int64(conns + reserve/2))
+		n.clients.most.Store(int64(conns + kept/2))
 	}
 }
 
