--- /dev/null
+++ b/internal/platform/node/slow_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"tealledge/internal/platform/wire"
+	"tealledge/internal/standin/platformsim"
+)
+
+// unanswered gives the address of a listener that answers no connect: what the system keeps for it is full.
+func unanswered(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(sa.(*syscall.SockaddrInet4).Port))
+	for range 4 {
+		if c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	return addr
+}
+
+// A connect that comes up too late, or never, proves that nothing ran: the request is served elsewhere within its time, a paid one
+// too, and what others ask meanwhile is not held up.
+func TestAConnectThatNeverComesUp(t *testing.T) {
+	for _, class := range []string{"safe", "paid"} {
+		t.Run(class, func(t *testing.T) {
+			x := newSiteWith(t, 1024, strings.Replace(settingsJSON, `"positions":3`, `"positions":100`, 1))
+			good, err := platformsim.NewServer(x.w, 10)
+			if err != nil {
+				t.Fatal(err)
+			}
+			x.journal.List(false, wire.Host{Name: "slow", Dial: unanswered(t), Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10},
+				wire.Host{Name: good.Name(), Dial: good.Addr(), Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10})
+			x.until("listed", func() bool { return x.look().Ready == 5 })
+			v, other := x.viewer(), x.viewer()
+			for n := 0; n < 60 && x.look().Servers.Unanswered == 0; n++ { // either of the two, by chance
+				sid := x.id()
+				v.Write(strings.Replace(strings.Replace(platformsim.Form(sid, class, 1500*time.Millisecond, ""), "home:0;copies:3", "home:50;copies:1", 1), "top:2", "top:0", 1))
+				if began, id := time.Now(), uint64(0); true {
+					var l wire.Line
+					if id, l = x.opens(other, "safe"); l.Msg != "ready" || time.Since(began) > time.Second {
+						t.Errorf("another's request meanwhile: %+v after %v", l, time.Since(began))
+					}
+					other.GiveUp(id)
+				}
+				if l := x.line(v, sid); l.Msg != "ready" {
+					t.Errorf("%+v", l)
+				}
+				v.GiveUp(sid)
+				x.until("over", func() bool { return x.look().Held == 0 })
+			}
+			if s := x.look(); s.Servers.Unanswered == 0 || s.Faults != 0 {
+				t.Errorf("%+v", s)
+			}
+			v.Close()
+			other.Close()
+			x.stop()
+			if err := <-x.done; err != nil {
+				t.Error(err)
+			}
+			x.journal.Close()
+			good.Die()
+			for _, s := range x.servers {
+				s.Die()
+			}
+		})
+	}
+}
