--- a/policy/ramp_test.go
+++ b/policy/ramp_test.go
@@ -100,6 +100,14 @@
 	return most
 }
 
+// by gives when so many had been sent, in seconds after the start; infinity: never.
+func (r *ramp) by(n float64) float64 {
+	if k := int(math.Ceil(n)); k <= len(r.sent) {
+		return float64(r.sent[k-1]-r.from) / float64(Second)
+	}
+	return math.Inf(1)
+}
+
 // ramps are days on which a server starts cold; each gives the requests that fronts get, and what else happens.
 var ramps = map[string]func(r *ramp) (rate func(i int, now Time) float64, each func(now Time)){
 	"steady": func(r *ramp) (func(int, Time) float64, func(Time)) {
@@ -160,17 +168,19 @@
 		for _, fleet := range []int{1, 20, 30, 300} {
 			seeds := int64(max(2, min(10, 180/fleet)))
 			for _, budget := range []float64{4, 9, 30, 100, 300} {
-				worst, sum := 0, 0
+				worst, sum, half, all := 0, 0, 0.0, 0.0
 				for seed := range seeds {
 					r := newRamp(rampSettings(fleet, budget), seed)
 					rate, each := day(r)
 					r.play(9*Second, rate, each)
 					worst, sum = max(worst, r.most()), sum+len(r.sent)
+					half, all = half+r.by(budget/2)/float64(seeds), all+r.by(budget)/float64(seeds)
 				}
 				if most := budget + 2*math.Sqrt(budget) + 2; float64(worst) > most {
 					t.Errorf("%s, %d fronts: %d set-ups in a window, %.0f allowed and %.0f by chance", name, fleet, worst, budget, most)
 				}
-				t.Logf("%s, %d fronts, N %.0f: at most %d, %.1f N in 8 s", name, fleet, budget, worst, float64(sum)/float64(seeds)/budget)
+				t.Logf("%s, %d fronts, N %.0f: at most %d, %.1f N in 8 s, half of N after %.1f s, N after %.1f s", name, fleet, budget, worst,
+					float64(sum)/float64(seeds)/budget, half, all)
 			}
 		}
 	}
