--- a/internal/pipe/links_test.go
+++ b/internal/pipe/links_test.go
@@ -5,11 +5,12 @@
 	"errors"
 	"io"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"tealledge/internal/standin/platformsim"
 )
 
 func dialer(addr string) func() (net.Conn, error) {
@@ -116,24 +117,11 @@
 
 // A machine that answers no connect is told apart from one that refuses.
 func TestConnectsThatNobodyAnswers(t *testing.T) {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer syscall.Close(fd)
-	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
-		t.Fatal(err)
-	}
-	sa, err := syscall.Getsockname(fd)
+	addr, done, err := platformsim.Unanswered()
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(sa.(*syscall.SockaddrInet4).Port))
-	for range 4 { // fills what the kernel keeps for it
-		if c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond); err == nil {
-			defer c.Close()
-		}
-	}
+	defer done()
 	began := time.Now()
 	_, err = DialTCP(addr, 100*time.Millisecond)
 	var timeout net.Error
--- a/internal/platform/node/slow_test.go
+++ b/internal/platform/node/slow_test.go
@@ -1,11 +1,7 @@
 package node
 
 import (
-	"errors"
-	"net"
-	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -13,30 +9,6 @@
 	"tealledge/internal/standin/platformsim"
 )
 
-// unanswered gives the address of a listener that answers no connect: what the system keeps for it is full.
-func unanswered(t *testing.T) string {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { syscall.Close(fd) })
-	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
-		t.Fatal(err)
-	}
-	sa, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(sa.(*syscall.SockaddrInet4).Port))
-	for range 4 {
-		if c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond); err == nil {
-			t.Cleanup(func() { c.Close() })
-		}
-	}
-	return addr
-}
-
 // A connect that comes up too late, or never, proves that nothing ran: the request is served elsewhere within its time, a paid one
 // too, and what others ask meanwhile is not held up.
 func TestAConnectThatNeverComesUp(t *testing.T) {
@@ -47,7 +19,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			x.journal.List(false, wire.Host{Name: "slow", Dial: unanswered(t), Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10},
+			slow, done, err := platformsim.Unanswered()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer done()
+			x.journal.List(false, wire.Host{Name: "slow", Dial: slow, Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10},
 				wire.Host{Name: good.Name(), Dial: good.Addr(), Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10})
 			x.until("listed", func() bool { return x.look().Ready == 5 })
 			v, other := x.viewer(), x.viewer()
