Several set-ups that wait for a connection that ends as it comes up no longer crash the front

Seen on reading the change again: servers.Connected writes all that waited; when the first finds by Ended that the server has ended the connection, retire leaves l.cur nil, and the second (or a waiting test) was written to it: a nil dereference in write, shown by the new test (panic before). Those that waited go on waiting for the next connection, the test too.

--- a/internal/platform/servers/connections.go
+++ b/internal/platform/servers/connections.go
@@ -116,7 +116,7 @@
 	for _, a := range waiting {
 		d.write(l, a)
 	}
-	if l.probing {
+	if l.probing && l.cur != nil {
 		l.probing = false
 		d.test(l)
 	}
--- a/internal/platform/servers/moved_test.go
+++ b/internal/platform/servers/moved_test.go
@@ -87,3 +87,19 @@
 	r.wroteTypes(r.up())
 	r.ended(5, policy.Moot)
 }
+
+// Several set-ups and a test wait for a connection that its server ends as it comes up: after the first had found that out, the
+// second was written to no connection at all, and the front crashed.
+func TestAllThatWaitedWaitsForTheNextConnection(t *testing.T) {
+	r := newRig(t)
+	ended := map[uint64]bool{}
+	r.d.cfg.Ended = func(conn uint64) bool { return ended[conn] }
+	r.setup(5)
+	r.setup(6)
+	r.do(front.Probe{Server: 1})
+	ended[r.dials[0].Conn] = true
+	first := r.up()
+	r.wroteTypes(first)
+	second := r.up()
+	r.wroteTypes(second, wire.SetUp, wire.SetUp, wire.Test)
+}
--- a/internal/platform/servers/setups.go
+++ b/internal/platform/servers/setups.go
@@ -44,6 +44,10 @@
 		d.news = append(d.news, front.Leave{Session: e.Session})
 		d.end(a, fate.Of(fate.Unsent, fate.Withdrawn, 0), nil)
 		return
+	case l.cur == nil: // another that waited with it has found out that the connection has ended
+		l.waiting = append(l.waiting, a)
+		d.dial(l, true)
+		return
 	case !a.again && d.cfg.Ended != nil && d.cfg.Ended(l.cur.conn):
 		// Danger: written to a connection that its server has ended, it could not be told from one that ran, and a paid one
 		// would fail. It waits once for the next; the end of this one is read as it comes.
