A listener that closes takes its own descriptor only, not one opened meanwhile

The standard library leaves it nil when getsockname fails on a descriptor that it has just opened, so somebody had closed that descriptor. Ruled out: the stand-in (nothing of it is closed before), pipe (raw descriptors only within RawConn), netpoll's connections (one guarded close, behind the stop of writes). At fault: Close of netpoll's listener, which closes ln.fd and then the os.File with the same number; each front that ends in a test does so while others open descriptors. Its Accept also goes on with the bare number after Close.

Change: pipe.Listen, whose descriptor is the standard library's and is asked for under its own lock; used by the platform front, the players' hub and the echo.

--- a/internal/load/echo.go
+++ b/internal/load/echo.go
@@ -7,6 +7,8 @@
 
 	"github.com/cloudwego/netpoll"
 	"github.com/gobwas/ws"
+
+	"tealledge/internal/pipe"
 )
 
 // Echo is a bare WebSocket echo on the same libraries, which a front's cost is measured against: it reads each
@@ -22,7 +24,7 @@
 
 // NewEcho listens.
 func NewEcho(addr string) (*Echo, error) {
-	ln, err := netpoll.CreateListener("tcp", addr)
+	ln, err := pipe.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -61,7 +61,7 @@
 
 func listen(addr string, events clientEvents) (*clients, error) {
 	c := &clients{events: events, conns: map[uint64]*client{}}
-	ln, err := netpoll.CreateListener("tcp", addr)
+	ln, err := pipe.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/players/players.go
+++ b/internal/players/players.go
@@ -102,7 +102,7 @@
 	h := &Hub{cfg: cfg, owner: owner, conns: map[*Conn]struct{}{}, stop: make(chan struct{}),
 		byTen: make([]atomic.Int32, max(len(cfg.Tenants), 1)),
 		door:  overload.Door{PerSecond: float64(cfg.Front.Handshakes), Burst: float64(cfg.Front.Handshakes) / 4, Line: policy.Time(cfg.Front.HandshakeLine)}}
-	ln, err := netpoll.CreateListener("tcp", cfg.Front.Listen)
+	ln, err := pipe.Listen(cfg.Front.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("players: %w", err)
 	}
