Trials keep the addresses of their fronts, and say how a front ended that did not start

Seen: one run of the tests failed in TestLinksAndMachinesThatFail after 0.14 s, 'front front-4 ended at its start', its log gone with the test's folder. The log's end is in the error from now on.

--- a/internal/day/process.go
+++ b/internal/day/process.go
@@ -84,7 +84,8 @@
 		p.w.rec.Add(record.Event{Who: "day", What: record.FrontUp, Front: p.name})
 		return nil
 	case <-p.exited:
-		return fmt.Errorf("front %s ended at its start; its log: %s", p.name, log.Name())
+		said, _ := os.ReadFile(log.Name())
+		return fmt.Errorf("front %s ended at its start; its log, %s, ends: %s", p.name, log.Name(), said[max(0, len(said)-1000):])
 	case <-time.After(10 * time.Second):
 		return fmt.Errorf("front %s does not serve after 10 s", p.name)
 	}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -43,6 +43,7 @@
 	list   *listsim.List
 	crowd  *playersim.Crowd
 	fronts []*process
+	ports  func() // lets go of the addresses of fronts
 	mu     sync.Mutex
 	busy   map[uint32]bool // servers that a trouble holds
 	ends   sync.WaitGroup
@@ -119,10 +120,15 @@
 	for _, m := range w.farm.Servers() {
 		w.list.Set(w.entry(m, "ready"))
 	}
+	addrs, release, err := Ports(2 * s.Fronts)
+	if err != nil {
+		return err
+	}
+	w.ports = release
 	for i := range s.Fronts {
-		p := &process{w: w, name: fmt.Sprintf("front-%d", i), me: i, addr: "127.0.0.1:0"}
+		p := &process{w: w, name: fmt.Sprintf("front-%d", i), me: i, addr: addrs[2*i]}
 		if s.HLS > 0 {
-			p.hls = "127.0.0.1:0"
+			p.hls = addrs[2*i+1]
 		}
 		w.fronts = append(w.fronts, p)
 		if err := p.start(); err != nil {
@@ -141,6 +147,9 @@
 	if w.list != nil {
 		w.list.Close()
 	}
+	if w.ports != nil {
+		w.ports()
+	}
 	w.rec.Close()
 }
 
--- a/internal/rig/net.go
+++ b/internal/rig/net.go
@@ -59,31 +59,6 @@
 	return n, nil
 }
 
-// Ports gives addresses on loopback that were free for TCP and UDP a moment ago.
-func Ports(count int) (list []string, err error) {
-	var open []io.Closer
-	defer func() {
-		for _, c := range open {
-			c.Close()
-		}
-	}()
-	for tries := 0; len(list) < count && tries < 100*count; tries++ {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		open = append(open, ln)
-		if u, err := net.ListenPacket("udp", ln.Addr().String()); err == nil {
-			open = append(open, u)
-			list = append(list, ln.Addr().String())
-		}
-	}
-	if len(list) < count {
-		return nil, errors.New("rig: too few free ports")
-	}
-	return list, nil
-}
-
 func (r *relay) listen() error {
 	for range 50 {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
