In a flood of idle clients a newcomer waits for room instead of being closed at the gate

At fault: gate.Accept in node/clients.go, which closed whoever came while the owner had not yet made room. Ruled out: the owner's choice (it had closed 5,965, all idle), the queue.

Change: past the limit the gate first waits up to 20 ms for a connection to end, the newcomers in the system's queue; after a wait in vain it closes them at once for 100 ms, so that readers are held up a sixth of the time at most.

--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -28,7 +28,9 @@
 	held   atomic.Int64 // connections that have a descriptor
 	most   atomic.Int64 // of these; 0: any number
 	shed   atomic.Uint64
-	peeked []byte // the owner's
+	room   chan struct{} // a connection has ended since the gate last looked
+	holds  time.Duration // how long the gate holds a newcomer for room
+	peeked []byte        // the owner's
 }
 
 // clientEvents takes what viewers' connections bring; called from many goroutines.
@@ -57,15 +59,17 @@
 	clientWrite = 2 * time.Second        // a viewer that takes nothing for so long loses its connection
 	lingers     = 150 * time.Millisecond // from the last bytes to the close: closed at once, unread input would destroy them
 	readerTurns = 20                     // that a connection's reader is given before a set-up is sent for it
+	gateHolds   = 20 * time.Millisecond  // the owner makes room within, unless none can be made or it has no core
+	gateRests   = 5                      // times that, after room was waited for in vain, it is not waited for again
 )
 
 func listen(addr string, events clientEvents) (*clients, error) {
-	c := &clients{events: events, conns: map[uint64]*client{}}
+	c := &clients{events: events, conns: map[uint64]*client{}, room: make(chan struct{}, 1), holds: gateHolds}
 	ln, err := pipe.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	c.ln = gate{ln, c}
+	c.ln = &gate{Listener: ln, c: c, born: time.Now()}
 	if c.loop, err = netpoll.NewEventLoop(c.request, netpoll.WithOnPrepare(c.prepare), netpoll.WithOnConnect(c.connect)); err != nil {
 		ln.Close()
 		return nil, err
@@ -73,20 +77,29 @@
 	return c, nil
 }
 
-// gate closes connections past the limit as they are accepted, and counts the others.
+// gate lets connections in up to the limit. Those past it wait in the system's queue for room; those for whom none is made in time
+// are closed.
 type gate struct {
 	netpoll.Listener
-	c *clients
+	c     *clients
+	born  time.Time
+	vain  atomic.Int64 // since born: room is not waited for before
+	waits atomic.Int64 // how often room was waited for
 }
 
 // Accept gives a connection, or none. Danger: the owner closes those past its own limit, but it may be busy; a flood would
-// meanwhile take what is reserved for servers and the list. Harm: in a flood a viewer is closed on.
-func (g gate) Accept() (net.Conn, error) {
+// meanwhile take what is reserved for servers and the list. Closed at once, a usual viewer that comes in the flood would get no
+// answer, though most of those in its way say nothing and the owner would close them for it. Harm: while room is waited for nobody
+// is read; in a flood of viewers that all have requests open, one is closed on.
+func (g *gate) Accept() (net.Conn, error) {
+	if g.full() && int64(time.Since(g.born)) >= g.vain.Load() {
+		g.wait()
+	}
 	conn, err := g.Listener.Accept()
 	if conn == nil || err != nil {
 		return conn, err
 	}
-	if most := g.c.most.Load(); most > 0 && g.c.held.Load() >= most {
+	if g.full() {
 		g.c.shed.Add(1)
 		conn.Close()
 		return nil, nil // none for now: the next look at the listener comes at once
@@ -95,9 +108,35 @@
 	return conn, nil
 }
 
+func (g *gate) full() bool {
+	most := g.c.most.Load()
+	return most > 0 && g.c.held.Load() >= most
+}
+
+// wait gives the owner time to make room.
+func (g *gate) wait() {
+	g.waits.Add(1)
+	late := time.NewTimer(g.c.holds)
+	defer late.Stop()
+	for g.full() {
+		select {
+		case <-g.c.room:
+		case <-late.C:
+			g.vain.Store(int64(time.Since(g.born) + gateRests*g.c.holds))
+			return
+		}
+	}
+}
+
 // prepare comes before anything else is done with a connection that was let in.
 func (c *clients) prepare(nc netpoll.Connection) context.Context {
-	pipe.OnEnd(nc, func() { c.held.Add(-1) })
+	pipe.OnEnd(nc, func() {
+		c.held.Add(-1)
+		select {
+		case c.room <- struct{}{}:
+		default:
+		}
+	})
 	return context.Background()
 }
 
