Addresses that tests listen at again are kept: stand-ins, fleets of fronts, started programs

The same danger as in the trials' fronts stood in five more places, each closing a free port and listening at it later: the program's tests, the fleet's tests and benchmark, media stand-ins and the platform's servers that come back. Likely the cause of failures that nobody could repeat; none of these was shown.

No check is eased.

Measured: the test of the ports and all packages that use them pass under -race, one run.

--- a/cmd/tealledge/configs_test.go
+++ b/cmd/tealledge/configs_test.go
@@ -15,6 +15,7 @@
 
 	"tealledge/internal/platform/wire"
 	"tealledge/internal/standin/platformsim"
+	"tealledge/internal/standin/ports"
 )
 
 // program builds the program once for the tests that start it.
@@ -49,15 +50,15 @@
 	patience time.Duration // of serves
 }
 
-// freeAddr gives an address that nobody listens at.
+// freeAddr gives an address at which nobody listens but who asks for it.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	kept, err := ports.Keep(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Cleanup(func() { kept.Close() })
+	return kept.Addrs[0]
 }
 
 type tree = map[string]any
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -18,6 +18,7 @@
 	"tealledge/internal/standin/listsim"
 	"tealledge/internal/standin/mediasim"
 	"tealledge/internal/standin/playersim"
+	"tealledge/internal/standin/ports"
 )
 
 // Options of a run.
@@ -43,7 +44,7 @@
 	list   *listsim.List
 	crowd  *playersim.Crowd
 	fronts []*process
-	ports  func() // lets go of the addresses of fronts
+	ports  *ports.Kept // addresses of fronts
 	mu     sync.Mutex
 	busy   map[uint32]bool // servers that a trouble holds
 	ends   sync.WaitGroup
@@ -120,15 +121,13 @@
 	for _, m := range w.farm.Servers() {
 		w.list.Set(w.entry(m, "ready"))
 	}
-	addrs, release, err := Ports(2 * s.Fronts)
-	if err != nil {
+	if w.ports, err = ports.Keep(2 * s.Fronts); err != nil {
 		return err
 	}
-	w.ports = release
 	for i := range s.Fronts {
-		p := &process{w: w, name: fmt.Sprintf("front-%d", i), me: i, addr: addrs[2*i]}
+		p := &process{w: w, name: fmt.Sprintf("front-%d", i), me: i, addr: w.ports.Addrs[2*i]}
 		if s.HLS > 0 {
-			p.hls = addrs[2*i+1]
+			p.hls = w.ports.Addrs[2*i+1]
 		}
 		w.fronts = append(w.fronts, p)
 		if err := p.start(); err != nil {
@@ -148,7 +147,7 @@
 		w.list.Close()
 	}
 	if w.ports != nil {
-		w.ports()
+		w.ports.Close()
 	}
 	w.rec.Close()
 }
--- a/internal/fleet/node/bench_test.go
+++ b/internal/fleet/node/bench_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
-	"net"
 	"testing"
 	"time"
 
@@ -29,20 +27,8 @@
 			return m
 		}
 		var addrs []string
-		var open []io.Closer
-		for len(addrs) < fronts { // all held until all are found: none is given twice, nor to what connects meanwhile
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			open = append(open, ln)
-			if u, err := net.ListenPacket("udp", ln.Addr().String()); err == nil {
-				open = append(open, u)
-				addrs = append(addrs, ln.Addr().String())
-			}
-		}
-		for _, c := range open {
-			c.Close()
+		for range fronts {
+			addrs = append(addrs, free(b))
 		}
 		for i := range fronts {
 			all = append(all, start(i, addrs[i], addrs[0]))
--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -18,24 +18,23 @@
 	"tealledge/decide/upkeep"
 	"tealledge/internal/fleet/core"
 	"tealledge/internal/fleet/ledger"
+	"tealledge/internal/standin/ports"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// free gives a port that is free for TCP and UDP.
-func free(t *testing.T) string {
+// free gives an address that is kept for TCP, and free for UDP.
+func free(t testing.TB) string {
 	t.Helper()
 	for range 50 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		kept, err := ports.Keep(1)
 		if err != nil {
 			t.Fatal(err)
 		}
-		addr := ln.Addr().String()
-		u, err := net.ListenPacket("udp", addr)
-		ln.Close()
-		if err == nil {
+		t.Cleanup(func() { kept.Close() })
+		if u, err := net.ListenPacket("udp", kept.Addrs[0]); err == nil {
 			u.Close()
-			return addr
+			return kept.Addrs[0]
 		}
 	}
 	t.Fatal("no port")
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -12,6 +12,7 @@
 	"tealledge/internal/audit"
 	"tealledge/internal/day"
 	"tealledge/internal/fleet/ledger"
+	"tealledge/internal/standin/ports"
 )
 
 // Rig is a fleet of fronts as processes, with relays between them, media stand-ins, viewers, and somebody who works on
@@ -19,7 +20,7 @@
 type Rig struct {
 	*day.World
 	Net    *Net
-	ports  func() // lets go of the addresses where fronts listen for each other
+	ports  *ports.Kept // where fronts listen for each other
 	fronts int
 	voters int
 	mu     sync.Mutex
@@ -78,20 +79,20 @@
 
 // Open starts fronts, of which some vote, on a day's stand-ins.
 func Open(ctx context.Context, s *day.Script, o day.Options, voters int) (*Rig, error) {
-	listen, release, err := day.Ports(s.Fronts)
+	kept, err := ports.Keep(s.Fronts)
 	if err != nil {
 		return nil, err
 	}
-	r := &Rig{ports: release, fronts: s.Fronts, voters: voters, cut: map[int]bool{}, down: map[int]bool{}, works: map[uint64]*job{}, hold: 1500 * time.Millisecond,
+	listen := kept.Addrs
+	r := &Rig{ports: kept, fronts: s.Fronts, voters: voters, cut: map[int]bool{}, down: map[int]bool{}, works: map[uint64]*job{}, hold: 1500 * time.Millisecond,
 		client: &http.Client{Timeout: 16 * time.Second}}
 	if r.Net, err = NewNet(s.Seed, listen); err != nil {
-		release()
+		kept.Close()
 		return nil, err
 	}
 	o.Extra = func(me int) string { return settings(me, s.Fronts, voters, listen, r.Net) }
 	if r.World, err = day.Open(ctx, s, o); err != nil {
-		release()
-		return nil, errors.Join(err, r.Net.Close())
+		return nil, errors.Join(err, r.Net.Close(), kept.Close())
 	}
 	ctx, r.end = context.WithCancel(ctx)
 	r.group.Add(1)
@@ -106,7 +107,7 @@
 	r.client.CloseIdleConnections()
 	r.World.Close()
 	r.Net.Close()
-	r.ports()
+	r.ports.Close()
 }
 
 // AllSeen waits until every work that is known has ended, for a while.
--- a/internal/standin/mediasim/farm.go
+++ b/internal/standin/mediasim/farm.go
@@ -13,6 +13,7 @@
 
 	"tealledge/internal/record"
 	"tealledge/internal/seal"
+	"tealledge/internal/standin/ports"
 )
 
 // Params is what all servers of a farm have in common.
@@ -55,11 +56,16 @@
 	stop    chan struct{}
 	once    sync.Once
 	done    sync.WaitGroup
+	kept    *ports.Kept // the servers' addresses, also while they are down
 }
 
 // New starts a farm of n servers on loopback ports, all warm. Server ids count from 1, cells from 0.
 func New(p Params, n int, rec *record.Log) (*Farm, error) {
 	f := &Farm{p: p, rec: rec, rng: rand.New(rand.NewSource(p.Seed)), stop: make(chan struct{})}
+	var err error
+	if f.kept, err = ports.Keep(n); err != nil {
+		return nil, err
+	}
 	spread := func() float64 { return 1 + p.Uneven*(2*f.rng.Float64()-1) }
 	for range p.Racks {
 		f.uplinks, f.sag = append(f.uplinks, p.UplinkKB*spread()), append(f.sag, 1)
@@ -75,7 +81,7 @@
 				return nil, err
 			}
 		}
-		if err := s.listen("127.0.0.1:0", false); err != nil {
+		if err := s.listen(f.kept.Addrs[i], false); err != nil {
 			f.Close()
 			return nil, err
 		}
@@ -142,6 +148,7 @@
 	for _, s := range f.servers {
 		s.running.Wait()
 	}
+	f.kept.Close()
 }
 
 const beat = 50 * time.Millisecond
--- a/internal/standin/platformsim/servers.go
+++ b/internal/standin/platformsim/servers.go
@@ -9,6 +9,7 @@
 
 	"tealledge/internal/platform/wire"
 	"tealledge/internal/record"
+	"tealledge/internal/standin/ports"
 )
 
 // Servers, each with what is wrong with it.
@@ -32,6 +33,7 @@
 	ID     uint32
 	w      *World
 	addr   string
+	kept   *ports.Kept // the address, also while it is down
 	mu     sync.Mutex
 	ln     net.Listener
 	faults Faults
@@ -48,7 +50,11 @@
 
 // NewServer starts a server at an address of its own.
 func NewServer(w *World, id uint32) (*Server, error) {
-	s := &Server{ID: id, w: w, addr: "127.0.0.1:0", conns: map[net.Conn]bool{}, plays: map[uint64]play{}, tried: map[uint64]int{}}
+	kept, err := ports.Keep(1)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ID: id, w: w, addr: kept.Addrs[0], kept: kept, conns: map[net.Conn]bool{}, plays: map[uint64]play{}, tried: map[uint64]int{}}
 	return s, s.Start()
 }
 
--- a/internal/day/ports_test.go
+++ b/internal/standin/ports/ports_test.go
@@ -1,4 +1,4 @@
-package day
+package ports
 
 import (
 	"net"
@@ -6,25 +6,24 @@
 	"testing"
 )
 
-// Addresses kept for processes go to nobody who asks for any, and to whoever asks for them, also again after an end.
+// Kept addresses go to nobody who asks for any, and to whoever asks for them, also again after an end.
 func TestPortsAreKept(t *testing.T) {
-	list, release, err := Ports(20)
+	kept, err := Keep(20)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer release()
 	for range 20000 {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		if slices.Contains(list, ln.Addr().String()) {
+		if slices.Contains(kept.Addrs, ln.Addr().String()) {
 			t.Errorf("%v is given away", ln.Addr())
 		}
 		ln.Close()
 	}
 	for range 2 {
-		for _, addr := range list {
+		for _, addr := range kept.Addrs {
 			ln, err := net.Listen("tcp", addr)
 			if err != nil {
 				t.Error(err)
@@ -33,4 +32,7 @@
 			ln.Close()
 		}
 	}
+	if len(kept.Addrs) != 20 || kept.Close() != nil || kept.Close() != nil {
+		t.Error("not as many as asked for, or not let go")
+	}
 }
