A connect that makes room no longer crashes the front when it closes the next one looked at

It needs more connections than the limit, as when servers leave the list and viewers' share grows, and a connection that is ending. A second fault beside it, by random orders: '6 connections from 5, 5 allowed', as the line whose connection was closed connected again at once.

Change: walks skip what is closed on the way (line.each); makeRoom closes without connecting (cut); a limit that came down is kept at the next connect, not one connection at a time.

Shown: the forced order panics before and passes now; TestAnyOrderOfEvents failed after 188 orders before, 20,000 pass now.

--- a/internal/platform/servers/connections.go
+++ b/internal/platform/servers/connections.go
@@ -30,7 +30,10 @@
 	if l.dialing != 0 || !now && d.now < l.dialAt {
 		return
 	}
-	if d.open >= d.most && !d.makeRoom(l, now) {
+	for d.open >= d.most {
+		if d.makeRoom(l, now) {
+			continue
+		}
 		// Danger: a connect without a descriptor looks like a server that can't be reached. What waits never left.
 		d.Stats.Crowded++
 		l.dialAt = d.now + redialGap
@@ -47,7 +50,7 @@
 	d.acts = append(d.acts, Act{Server: l.server, Conn: l.dialing, Dial: l.addr, Within: d.cfg.Connect})
 }
 
-// makeRoom closes the connection that is least missed: nothing is open on it, and it carries no sessions or, if there is no
+// makeRoom closes the connection that is least missed. It opens none: the room is for the one that asked. Nothing is open on it, and it carries no sessions or, if there is no
 // such and something waits to be sent, the fewest; of those the longest quiet. Harm: what a server has to say of its sessions
 // there waits for the next one.
 func (d *Desk) makeRoom(but *line, urgent bool) bool {
@@ -61,7 +64,7 @@
 		}
 	}
 	if worst != nil {
-		d.drop(at, worst, worst.sent)
+		d.cut(at, worst, worst.sent)
 		return true
 	}
 	for _, l := range d.lines {
@@ -82,7 +85,7 @@
 		return false
 	}
 	at.dialAt = max(at.dialAt, d.now+redialGap)
-	d.drop(at, worst, worst.sent)
+	d.cut(at, worst, worst.sent)
 	return true
 }
 
@@ -189,8 +192,23 @@
 	d.acts = append(d.acts, Act{Server: l.server, Conn: k.conn, Finish: true})
 }
 
-// drop ends a connection and what was open on it.
+// each gives a server's connections by their numbers. Danger: what is done for one may close the next of the same server.
+func (l *line) each(yield func(*link) bool) {
+	for _, conn := range sorted(l.links) {
+		if k := l.links[conn]; k != nil && !yield(k) {
+			return
+		}
+	}
+}
+
+// drop ends a connection and what was open on it, and opens another if there is anything to be said or heard.
 func (d *Desk) drop(l *line, k *link, begun uint64) {
+	d.cut(l, k, begun)
+	d.wanted(l)
+}
+
+// cut ends a connection and what was open on it.
+func (d *Desk) cut(l *line, k *link, begun uint64) {
 	delete(l.links, k.conn)
 	d.open--
 	if l.cur == k {
@@ -224,5 +242,4 @@
 			d.end(l.live[id], policy.ResetConn, nil)
 		}
 	}
-	d.wanted(l)
 }
--- a/internal/platform/servers/gone.go
+++ b/internal/platform/servers/gone.go
@@ -32,8 +32,8 @@
 					d.end(a, policy.ResetConn, nil)
 				}
 			}
-			for _, id := range sorted(l.links) {
-				if k := l.links[id]; k.stoodAt < s.Started {
+			for k := range l.each {
+				if k.stoodAt < s.Started {
 					d.drop(l, k, k.sent)
 				}
 			}
@@ -47,8 +47,8 @@
 			if !s.Gone {
 				d.byAddr[l.addr] = s.ID
 			}
-			for _, id := range sorted(l.links) {
-				l.links[id].stale = true
+			for k := range l.each {
+				k.stale = true
 			}
 			// Danger: a connect to the old address that is under way may end at another server's process, and what waits would be
 			// written there. Its connection is closed as it comes; another connect is made.
@@ -98,7 +98,7 @@
 			l.doomed[id] = d.now + doomedFor
 		}
 	}
-	for _, id := range sorted(l.links) {
-		d.drop(l, l.links[id], l.links[id].sent)
+	for k := range l.each {
+		d.drop(l, k, k.sent)
 	}
 }
--- a/internal/platform/servers/tick.go
+++ b/internal/platform/servers/tick.go
@@ -35,8 +35,7 @@
 		l.probing = false
 		d.news = append(d.news, front.Probed{Server: l.server, Status: policy.NoConnect, Took: d.now - l.probeAt})
 	}
-	for _, id := range sorted(l.links) {
-		k := l.links[id]
+	for k := range l.each {
 		for _, t := range sorted(k.tests) {
 			if at := k.tests[t]; d.now-at >= d.cfg.ProbeWait {
 				delete(k.tests, t)
@@ -86,8 +85,8 @@
 			open += len(k.out)
 		}
 		if open == 0 {
-			for _, id := range sorted(l.links) {
-				d.drop(l, l.links[id], l.links[id].sent)
+			for k := range l.each {
+				d.drop(l, k, k.sent)
 			}
 			delete(d.lines, l.server)
 			d.order = nil
