--- a/cmd/tealledge/configs_test.go
+++ b/cmd/tealledge/configs_test.go
@@ -90,16 +90,32 @@
 	if err := os.WriteFile(p.path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	args := append(wrap, bin, "platform")
+	p.run(append(wrap, bin, "platform"))
+	return p
+}
+
+// startOn runs the program on a file that lies there.
+func startOn(t *testing.T, path, addr string) *process {
+	t.Helper()
+	bin, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{t: t, addr: addr, path: path, ended: make(chan error, 1), patience: 8 * time.Second}
+	p.run([]string{bin, "platform"})
+	return p
+}
+
+func (p *process) run(args []string) {
+	p.t.Helper()
 	p.cmd = exec.Command(args[0], args[1:]...)
 	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+p.path, "NODE_NAME=n0", "NODE_LISTEN="+p.addr)
 	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
 	go func() { p.ended <- p.cmd.Wait() }()
-	t.Cleanup(func() { p.cmd.Process.Kill() })
-	return p
+	p.t.Cleanup(func() { p.cmd.Process.Kill() })
 }
 
 // tested tells whether the front passes a test.
--- a/internal/platform/node/config.go
+++ b/internal/platform/node/config.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -46,10 +47,14 @@
 	if info.Size() > maxConfig {
 		return nil, fmt.Errorf("%s: %d bytes, %d at most", path, info.Size(), maxConfig)
 	}
-	raw, err := os.ReadFile(path)
+	// Of the file that was looked at: another may have its name by now, and it may grow.
+	raw, err := io.ReadAll(io.LimitReader(f, maxConfig+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(raw) > maxConfig {
+		return nil, fmt.Errorf("%s: over %d bytes", path, maxConfig)
+	}
 	c, err := Parse(raw)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/internal/platform/node/leaving_test.go
+++ b/internal/platform/node/leaving_test.go
@@ -1,11 +1,17 @@
 package node
 
 import (
+	"context"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"tealledge/internal/front"
+	"tealledge/internal/platform/viewers"
+	"tealledge/internal/platform/wire"
 	"tealledge/internal/standin/platformsim"
+	"tealledge/policy"
 )
 
 // leaves waits for the end of a front that was told to leave: nothing can be owed any more.
@@ -56,3 +62,29 @@
 	v.Close()
 	x.end()
 }
+
+// A front that leaves has waited long enough for sessions that stand after leaveMost, but not for a request: its deadline may be
+// longer, and it is owed its answer.
+func TestARequestWithALongDeadlineIsAnsweredBeforeTheEnd(t *testing.T) {
+	x := listedNode(t, 3)
+	defer x.clients.close(context.Background())
+	now := x.now()
+	in := viewers.In{}
+	in.Line, in.Err = wire.ParseLine([]byte(strings.TrimSuffix(platformsim.Form(7, "safe", 10*time.Minute, ""), "\n")))
+	x.viewers.Accepted(now, 1)
+	x.viewers.Received(now, now, 1, []viewers.In{in}, nil, false, x.core.Known)
+	x.settle()
+	if x.core.Open() != 1 {
+		t.Fatalf("%d open", x.core.Open())
+	}
+	x.leaving = now
+	late := now + leaveMost + policy.Second
+	if x.over(late) {
+		t.Error("it ends with a request open")
+	}
+	x.step(front.Leave{Session: 7})
+	x.settle()
+	if x.core.Open() != 0 || !x.over(late) {
+		t.Errorf("%d open, and it stays", x.core.Open())
+	}
+}
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -42,3 +42,20 @@
 		}
 	}
 }
+
+// A start that lies ahead, told by a clock that was set, is one of now: the server is paced for one warm-up, and no longer.
+func TestAStartThatLiesAhead(t *testing.T) {
+	set := cold()
+	w := newWorld(t, set)
+	w.now += 60 * Second
+	told := entry(2)
+	told.Started = w.now + 1000*Second
+	w.do(List{Kind: ListDelta, Entries: []Entry{told}})
+	if n := w.sendsIn(3*Second, 2); n == 0 || n > 8 {
+		t.Errorf("%d set-ups to a server told started", n)
+	}
+	w.now += set.ColdSpan
+	if n := w.sendsIn(3*Second, 2); n <= 8 {
+		t.Errorf("only %d set-ups to a server that is warm", n)
+	}
+}
