--- a/internal/platform/viewers/setups.go
+++ b/internal/platform/viewers/setups.go
@@ -89,7 +89,12 @@
 func (d *Desk) handedAgain(c *client, sid uint64, s *session) {
 	c.said = true
 	if s == nil {
-		d.write(c, d.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseReset}))
+		word := d.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseReset})
+		if o, due := d.owed[sid]; due { // this is the connection that its end waited for
+			word = o.bytes
+			delete(d.owed, sid)
+		}
+		d.write(c, word)
 		return
 	}
 	if old := d.conns[s.conn]; old != nil {
