A start waits up to 3 s for its address, which the process of before may still have

Found by asking of each line of a start what if the old process is still there: listen ended the new one at once with 'address already in use', a refusal to start. docs/run/platform.md said that a start waits for its address; it did not.

Change: listenAt asks again each 10 ms for 3 s; then it ends with the one line as before.

--- a/cmd/tealledge/restarts_test.go
+++ b/cmd/tealledge/restarts_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"slices"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -32,3 +34,30 @@
 		}
 	}
 }
+
+// One that is started as the process of before still has its address waits for it; if it stays another's, it ends with one line.
+func TestAStartWaitsForItsAddress(t *testing.T) {
+	old := start(t, siteSettings(), nil, "", 256)
+	old.ready()
+	next := startOn(t, old.path, old.addr)
+	old.cmd.Process.Signal(syscall.SIGTERM) // it serves on for some 1.5 s
+	if err := <-old.ended; err != nil {
+		t.Fatalf("the old one: %v: %s", err, old.log.String())
+	}
+	next.ready()
+	if text := next.log.String(); strings.Contains(text, "error") {
+		t.Error(text)
+	}
+	third := startOn(t, old.path, old.addr)
+	select {
+	case err := <-third.ended:
+		if text := third.log.String(); err == nil || strings.Count(text, "\n") != 1 || !strings.Contains(text, "in use") {
+			t.Errorf("%v: %q", err, text)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("it waits for ever")
+	}
+	if !next.tested() {
+		t.Error("the one that has the address is gone")
+	}
+}
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -60,12 +62,14 @@
 	lingers     = 150 * time.Millisecond // from the last bytes to the close: closed at once, unread input would destroy them
 	readerTurns = 20                     // that a connection's reader is given before a set-up is sent for it
 	gateHolds   = 20 * time.Millisecond  // the owner makes room within, unless none can be made or it has no core
-	gateRests   = 5                      // times that, after room was waited for in vain, it is not waited for again
+	addrWait    = 3 * time.Second        // for an address that is in use at the start
+	addrPause   = 10 * time.Millisecond
+	gateRests   = 5 // times that, after room was waited for in vain, it is not waited for again
 )
 
 func listen(addr string, events clientEvents) (*clients, error) {
 	c := &clients{events: events, conns: map[uint64]*client{}, room: make(chan struct{}, 1), holds: gateHolds}
-	ln, err := pipe.Listen(addr)
+	ln, err := listenAt(addr)
 	if err != nil {
 		return nil, err
 	}
@@ -77,6 +81,16 @@
 	return c, nil
 }
 
+// listenAt listens at an address. Danger: a front that is started again as the process of before still ends finds its address in
+// use, and ends itself. Harm: one whose address is another's says so only after addrWait.
+func listenAt(addr string) (ln netpoll.Listener, err error) {
+	for began := time.Now(); ; time.Sleep(addrPause) {
+		if ln, err = pipe.Listen(addr); !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) >= addrWait {
+			return ln, err
+		}
+	}
+}
+
 // gate lets connections in up to the limit. Those past it wait in the system's queue for room; those for whom none is made in time
 // are closed.
 type gate struct {
