--- a/cmd/tealledge/signals_test.go
+++ b/cmd/tealledge/signals_test.go
@@ -44,25 +44,26 @@
 	}
 }
 
-// begin starts the program on a pipe, and gives the pipe's other end and what is to be written there.
-func begin(t *testing.T) (p *process, w *os.File, text []byte) {
+// signalled starts the program on a pipe, signals it as it reads there, and then lets it read on. It gives what it reads.
+func signalled(t *testing.T, s syscall.Signal) (p *process, text []byte) {
 	t.Helper()
 	model := start(t, siteSettings(), nil, "", 256) // for its file
 	model.cmd.Process.Kill()
 	<-model.ended
 	text = pipeAt(t, model.path)
 	p = startOn(t, model.path, model.addr)
-	return p, p.reader(model.path), text
+	w := p.reader(model.path)
+	p.cmd.Process.Signal(s)
+	w.Write(text)
+	w.Close()
+	p.ready()
+	return p, text
 }
 
 // Signals that come before the configuration is read end nothing: it starts, and then acts on them.
 func TestSignalsBeforeItIsReady(t *testing.T) {
 	t.Run("SIGHUP", func(t *testing.T) {
-		p, w, text := begin(t)
-		p.cmd.Process.Signal(syscall.SIGHUP)
-		w.Write(text)
-		w.Close()
-		p.ready()
+		p, text := signalled(t, syscall.SIGHUP)
 		again := p.reader(p.path) // it acts on the signal now
 		again.Write(text)
 		again.Close()
@@ -71,11 +72,7 @@
 		}
 	})
 	t.Run("SIGTERM", func(t *testing.T) {
-		p, w, text := begin(t)
-		p.cmd.Process.Signal(syscall.SIGTERM)
-		w.Write(text)
-		w.Close()
-		p.ready()
+		p, _ := signalled(t, syscall.SIGTERM)
 		select {
 		case err := <-p.ended:
 			if err != nil {
