Servers with sessions are heard in turn where connections are fewer

Found by reading makeRoom: for a connect that only wants to hear, it leaves every server with sessions its connection. Where sessions stand at more servers than the limit of connections, the others were refused one for ever ('Crowded' each 0.25 s), the ends of their sessions were never told, and their viewers held them past the 8 s of the protocol. Shown on the pure dialogue: 4 connections, sessions at 6, 12 and 16 servers: 2, 8 and 12 ends not told in 8 s.

A connection that is ending is cut at once for a set-up only, and for others after 0.25 s; before, whoever came first cut it.

--- a/internal/platform/servers/connections.go
+++ b/internal/platform/servers/connections.go
@@ -36,6 +36,7 @@
 		}
 		// Danger: a connect without a descriptor looks like a server that can't be reached. What waits never left.
 		d.Stats.Crowded++
+		d.yield(l)
 		l.dialAt = d.now + redialGap
 		d.fail(l, fate.Withdrawn)
 		if l.probing {
@@ -56,9 +57,9 @@
 func (d *Desk) makeRoom(but *line, urgent bool) bool {
 	var worst *link
 	var at *line
-	for _, l := range d.lines { // one whose writing side has ended is waited for no longer
+	for _, l := range d.lines { // one whose writing side has ended is waited for no longer, or for a moment where nothing hurries
 		for _, k := range l.links {
-			if k.endingAt != 0 && (worst == nil || k.endingAt < worst.endingAt || k.endingAt == worst.endingAt && k.conn < worst.conn) {
+			if k.endingAt != 0 && (urgent || d.now-k.endingAt >= redialGap) && (worst == nil || k.endingAt < worst.endingAt || k.endingAt == worst.endingAt && k.conn < worst.conn) {
 				worst, at = k, l
 			}
 		}
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -102,6 +102,7 @@
 	links   map[uint64]*link
 	dialing uint64 // connection being opened; 0: none
 	dialAt  Time   // not again before
+	heardAt Time   // it last had a connection, or its first session
 	refused int    // connects refused in a row
 	silent  int    // connects unanswered in a row
 
--- a/internal/platform/servers/sessions.go
+++ b/internal/platform/servers/sessions.go
@@ -61,6 +61,9 @@
 	if l == nil || d.attempts[e.Session] != nil {
 		return false
 	}
+	if len(l.live) == 0 {
+		l.heardAt = now
+	}
 	a := &attempt{setup: e, at: now, playing: true}
 	d.attempts[e.Session], l.live[e.Session] = a, a
 	d.wanted(l)
--- a/internal/platform/servers/tick.go
+++ b/internal/platform/servers/tick.go
@@ -35,6 +35,9 @@
 		l.probing = false
 		d.news = append(d.news, front.Probed{Server: l.server, Status: policy.NoConnect, Took: d.now - l.probeAt})
 	}
+	if len(l.links) > 0 {
+		l.heardAt = d.now
+	}
 	for k := range l.each {
 		for _, t := range sorted(k.tests) {
 			if at := k.tests[t]; d.now-at >= d.cfg.ProbeWait {
