--- a/internal/standin/platformsim/unanswered.go
+++ b/internal/standin/platformsim/unanswered.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -16,12 +17,12 @@
 		return "", nil, err
 	}
 	held := []net.Conn{}
-	done = func() {
+	done = sync.OnceFunc(func() { // once: the number is another's afterwards
 		for _, c := range held {
 			c.Close()
 		}
 		syscall.Close(fd)
-	}
+	})
 	err = errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0))
 	sa, named := syscall.Getsockname(fd)
 	if err = errors.Join(err, named); err != nil {
