--- a/cmd/tealledge/configs_test.go
+++ b/cmd/tealledge/configs_test.go
@@ -41,7 +41,7 @@
 
 // process is the program as the platform starts it, on a configuration that a test writes.
 type process struct {
-	t        *testing.T
+	t        testing.TB
 	addr     string
 	path     string
 	log      lockedBuffer
@@ -51,7 +51,7 @@
 }
 
 // freeAddr gives an address at which nobody listens but who asks for it.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	kept, err := ports.Keep(1)
 	if err != nil {
@@ -72,7 +72,7 @@
 }
 
 // start runs the program on settings, a list and a journal; wrap is a command that it is started by, if any.
-func start(t *testing.T, settings tree, known []wire.Event, journal string, sockets int, wrap ...string) *process {
+func start(t testing.TB, settings tree, known []wire.Event, journal string, sockets int, wrap ...string) *process {
 	t.Helper()
 	bin, err := program()
 	if err != nil {
@@ -95,7 +95,7 @@
 }
 
 // startOn runs the program on a file that lies there.
-func startOn(t *testing.T, path, addr string) *process {
+func startOn(t testing.TB, path, addr string) *process {
 	t.Helper()
 	bin, err := program()
 	if err != nil {
--- a/internal/platform/node/moved_test.go
+++ b/internal/platform/node/moved_test.go
@@ -43,26 +43,33 @@
 	}
 }
 
-// A server's address changes while a connect to the old one, which nobody answers, is under way: what waits goes to the new one at
-// once. Before, it waited for the old connect, and went to whoever answered it.
-func TestAnAddressThatChangesWhileItIsConnectedTo(t *testing.T) {
-	x := newSiteWith(t, 1024, strings.NewReplacer(`"positions":3`, `"positions":100`, `"connect-timeout-ns":250000000`, `"connect-timeout-ns":8000000000`).Replace(settingsJSON))
-	old, done, err := platformsim.Unanswered()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer done()
-	good, err := platformsim.NewServer(x.w, 10)
+// connecting has a paid set-up wait for a connect that nobody answers, to the one server that holds its title. It gives that server
+// as it was listed, and what ends the listener.
+func connecting(t *testing.T) (x *site, v *platformsim.Viewer, sid uint64, host wire.Host, done func()) {
+	t.Helper()
+	x = newSiteWith(t, 1024, strings.NewReplacer(`"positions":3`, `"positions":100`, `"connect-timeout-ns":250000000`, `"connect-timeout-ns":8000000000`).Replace(settingsJSON))
+	addr, done, err := platformsim.Unanswered()
 	if err != nil {
 		t.Fatal(err)
 	}
-	host := wire.Host{Name: good.Name(), Dial: old, Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10}
+	t.Cleanup(done)
+	host = wire.Host{Name: "slow", Dial: addr, Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10}
 	x.journal.List(false, host)
 	x.until("listed", func() bool { return x.look().Ready == 4 })
-	v := x.viewer()
-	sid := x.id()
+	v, sid = x.viewer(), x.id()
 	v.Write(strings.Replace(platformsim.Form(sid, "paid", 2*time.Second, ""), "home:0;copies:3", "home:50;copies:1", 1))
 	x.until("connected to", func() bool { s := x.look(); return s.Attempts == 1 && s.Open == 1 })
+	return x, v, sid, host, done
+}
+
+// A server's address changes while a connect to the old one, which nobody answers, is under way: what waits goes to the new one at
+// once. Before, it waited for the old connect, and went to whoever answered it.
+func TestAnAddressThatChangesWhileItIsConnectedTo(t *testing.T) {
+	x, v, sid, host, done := connecting(t)
+	good, err := platformsim.NewServer(x.w, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
 	host.Dial = good.Addr()
 	x.journal.List(false, host)
 	if l := x.line(v, sid); l.Msg != wire.LineReady {
@@ -113,19 +120,7 @@
 // A server drains while a paid set-up waits for a connect to it: the request is refused in its time, and nothing comes to the server
 // when the connect is through.
 func TestAServerThatDrainsWhileItIsConnectedTo(t *testing.T) {
-	x := newSiteWith(t, 1024, strings.NewReplacer(`"positions":3`, `"positions":100`, `"connect-timeout-ns":250000000`, `"connect-timeout-ns":8000000000`).Replace(settingsJSON))
-	addr, done, err := platformsim.Unanswered()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer done()
-	host := wire.Host{Name: "slow", Dial: addr, Zone: "z", Kind: "k", Cell: 50, Health: wire.HostReady, Share: 10}
-	x.journal.List(false, host)
-	x.until("listed", func() bool { return x.look().Ready == 4 })
-	v := x.viewer()
-	sid := x.id()
-	v.Write(strings.Replace(platformsim.Form(sid, "paid", 2*time.Second, ""), "home:0;copies:3", "home:50;copies:1", 1))
-	x.until("connected to", func() bool { s := x.look(); return s.Attempts == 1 && s.Open == 1 })
+	x, v, sid, host, done := connecting(t)
 	host.Health = wire.HostDraining
 	x.journal.List(false, host)
 	if l := x.line(v, sid); l.Msg != wire.LineClose || l.Code != wire.CauseRefused {
--- a/internal/platform/servers/connections.go
+++ b/internal/platform/servers/connections.go
@@ -51,15 +51,16 @@
 	d.acts = append(d.acts, Act{Server: l.server, Conn: l.dialing, Dial: l.addr, Within: d.cfg.Connect})
 }
 
-// makeRoom closes the connection that is least missed. It opens none: the room is for the one that asked. Nothing is open on it, and it carries no sessions or, if there is no
-// such and something waits to be sent, the fewest; of those the longest quiet. Harm: what a server has to say of its sessions
-// there waits for the next one.
+// makeRoom closes the connection that is least missed: nothing is open on it, and it carries no sessions or, if there is no
+// such and something waits to be sent, the fewest; of those the longest quiet. It opens none: the room is for the one that
+// asked. Harm: what a server has to say of its sessions there waits for the next one.
 func (d *Desk) makeRoom(but *line, urgent bool) bool {
 	var worst *link
 	var at *line
 	for _, l := range d.lines { // one whose writing side has ended is waited for no longer, or for a moment where nothing hurries
 		for _, k := range l.links {
-			if k.endingAt != 0 && (urgent || d.now-k.endingAt >= redialGap) && (worst == nil || k.endingAt < worst.endingAt || k.endingAt == worst.endingAt && k.conn < worst.conn) {
+			if k.endingAt != 0 && (urgent || d.now-k.endingAt >= redialGap) &&
+				(worst == nil || k.endingAt < worst.endingAt || k.endingAt == worst.endingAt && k.conn < worst.conn) {
 				worst, at = k, l
 			}
 		}
