Review: 60 MB of bad requests from six clients leave all other viewers unanswered

Looked for: what one client's input can hold up for the others. The owner goroutine waits for the lock that a reader holds while it parses all the input of its connection, without a limit.

Adds case 1 as the gravest; the earlier cases 1 and 2 are now 2 and 3.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
 	echo "run the build of the deploy file and review/build.sh first" >&2
 	exit 2
 fi
-exec review/bin/harness broken-answer . "$here/record.txt"
+exec review/bin/harness big-bodies . "$here/record.txt"
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,6 +23,7 @@
 
 // cases holds the scenarios. Each returns what broke its rule: nothing if the rule held.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
+	"big-bodies":    bigBodies,
 	"broken-answer": brokenAnswer,
 	"slow-journal":  slowJournal,
 	"same-again":    sameAgain,
