A set-up whose connection ends before its answer is released at its server

Cause: removeConn ended the attempts in flight on a lost connection as "may have run" and forgot them. A session that the server has answered belongs to no connection, and nothing told the server.

Change: such a set-up is released on another open connection, or on one opened at once, before the core hears of the end. The same cause on related paths: a release written to a connection that ends is written again unless the server confirmed it (abandoned set-ups, stopped sessions), and a server with releases to get takes its turn at the limit of connections. No release goes to a server that took over the address and plays the session.

TestUnsentSetUps expects the release of the set-up that may have run before the unsent one, and checks both messages in place of their number.

--- a/internal/platform/node/server_faults_test.go
+++ b/internal/platform/node/server_faults_test.go
@@ -13,7 +13,7 @@
 func TestEachServerFault(t *testing.T) {
 	for name, f := range map[string]platformsim.Faults{
 		"full": {Full: true}, "error": {Error: true}, "no reply": {NoReply: true}, "invalid reply": {InvalidReply: true},
-		"half a reply": {HalfReply: true}, "connection closed": {CloseConn: true}, "duplicate reply": {DuplicateReply: true},
+		"half a reply": {HalfReply: true}, "broken reply": {BreakReply: true}, "connection closed": {CloseConn: true}, "duplicate reply": {DuplicateReply: true},
 		"answer exceeds a line": {HugeText: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -37,6 +37,29 @@
 	}
 }
 
+// Guards against sessions that stand at two servers, or for nobody: the answer of a server breaks off with its
+// connection, the request is tried elsewhere or has failed, and the first server was never told.
+func TestBrokenAnswerLeavesNoSessionAtItsServer(t *testing.T) {
+	const releasedWithin = time.Second // the operators' limit
+	x := newTestFront(t, 1024)
+	for _, s := range x.servers[:2] { // the third server has no fault
+		s.SetFaults(platformsim.Faults{BreakReply: true})
+	}
+	v := x.viewer()
+	x.openMany(v, 12, 20*time.Millisecond)
+	time.Sleep(releasedWithin)
+	if s := x.snapshot(); s.Servers.Uncertain == 0 {
+		t.Fatal("no answer broke off")
+	}
+	for _, s := range x.servers[:2] {
+		if left := s.Sessions(); len(left) > 0 {
+			t.Errorf("sessions %v stand at %s, which no viewer was told of", left, s.Name())
+		}
+	}
+	v.Close()
+	x.closeAndAudit()
+}
+
 // The sessions of a server process that dies are ended in time, and the process may restart.
 func TestServerProcessDiesAndRestarts(t *testing.T) {
 	x := newTestFront(t, 1024)
--- a/internal/platform/servers/connections.go
+++ b/internal/platform/servers/connections.go
@@ -3,7 +3,6 @@
 import (
 	"tealledge/decide/outcome"
 	"tealledge/internal/front"
-	"tealledge/internal/platform/wire"
 	"tealledge/policy"
 )
 
@@ -114,10 +113,7 @@
 	if previous != nil {
 		previous.retired = true
 	}
-	for _, id := range sorted(remote.pendingReleases) {
-		p.send(remote, c, (&wire.Message{Type: wire.Release, Session: id}).AddCause(wire.CauseEnded))
-	}
-	clear(remote.pendingReleases)
+	p.writePendingReleases(remote)
 	for _, id := range sorted(remote.sessions) {
 		if a := remote.sessions[id]; a.rungPending {
 			p.sendRung(remote, a)
@@ -229,6 +225,7 @@
 		remote.current = nil
 	}
 	p.effects = append(p.effects, Effect{Server: remote.server, Conn: c.id, Close: true})
+	uncertain := false
 	for _, id := range sorted(c.inFlight) {
 		a := c.inFlight[id]
 		switch {
@@ -242,9 +239,13 @@
 		case submitted < a.endOffset:
 			p.end(a, outcome.StatusOf(outcome.PartlyWritten, outcome.ConnectionLost, 0), nil)
 		default:
+			uncertain = true
+			p.Stats.Uncertain++
+			p.queueRelease(remote, id)
 			p.end(a, outcome.StatusOf(outcome.Written, outcome.ConnectionLost, 0), nil)
 		}
 	}
+	p.requeueReleases(remote, c)
 	for _, id := range sorted(c.probes) {
 		p.events = append(p.events, front.Probed{Server: remote.server, Status: policy.ConnReset,
 			Took: p.now - c.probes[id]})
@@ -253,6 +254,9 @@
 	if p.now-c.connectedAt < policy.Second { // prevents a reconnect loop when connections end at once
 		remote.redialAt = max(remote.redialAt, p.now+minRedialDelay)
 	}
+	if uncertain { // the next attempt may be sent elsewhere at once: this server has to get its release as soon
+		remote.redialAt = p.now
+	}
 	if len(remote.sessions) > 0 && p.addressReused(remote) { // the server at its address now does not know them
 		for _, id := range sorted(remote.sessions) {
 			p.end(remote.sessions[id], policy.ConnReset, nil)
--- a/internal/platform/servers/liveness.go
+++ b/internal/platform/servers/liveness.go
@@ -18,7 +18,8 @@
 			}
 			remote = &peer{server: s.ID, addr: s.Addr, started: s.Started,
 				conns: map[uint64]*conn{}, sessions: map[uint64]*attempt{}, moving: map[uint64]Time{},
-				abandoned: map[uint64]Time{}, pendingReleases: map[uint64]Time{}}
+				abandoned: map[uint64]Time{}, pendingReleases: map[uint64]Time{},
+				sentReleases: map[uint64]sentRelease{}}
 			p.peers[s.ID] = remote
 			p.peerIDs = nil
 			p.byAddr[s.Addr] = s.ID
@@ -96,9 +97,7 @@
 func (p *Protocol) endSessions(remote *peer) {
 	for _, id := range sorted(remote.sessions) {
 		p.end(remote.sessions[id], policy.ConnReset, nil)
-		if len(remote.pendingReleases) < maxPendingReleases {
-			remote.pendingReleases[id] = p.now + pendingReleaseTTL
-		}
+		p.queueRelease(remote, id)
 	}
 	for c := range remote.eachConn {
 		p.dropConn(remote, c, c.sentBytes)
--- a/internal/platform/servers/receive.go
+++ b/internal/platform/servers/receive.go
@@ -71,7 +71,9 @@
 		}
 		p.events = append(p.events, front.Probed{Server: remote.server, Status: status, Took: p.now - at,
 			Report: p.report(m)})
-	case wire.Trying, wire.Released:
+	case wire.Released:
+		delete(remote.sentReleases, m.Session)
+	case wire.Trying:
 	default:
 		return protocolError("server sent a message type reserved for fronts")
 	}
@@ -131,7 +133,7 @@
 // handleRelease handles a refusal or the end of a session.
 func (p *Protocol) handleRelease(remote *peer, c *conn, m *wire.Message) {
 	delete(remote.moving, m.Session)
-	delete(remote.pendingReleases, m.Session)
+	remote.forgetReleases(m.Session)
 	cause, _ := m.Cause()
 	a := p.attempts[m.Session]
 	if a == nil || a.setup.Server != remote.server || !a.playing && a.conn != c {
--- a/internal/platform/servers/rotation.go
+++ b/internal/platform/servers/rotation.go
@@ -11,11 +11,11 @@
 )
 
 // giveTurn half-closes the connection that has been open for longest, in favour of a server that has sessions of this
-// front and no connection for maxDisconnectedTime. Otherwise the end of those sessions would never be received, and
-// their viewers would keep them for ever. The cost: one connection each time, and messages of servers without a
+// front, or releases to get, and no connection for maxDisconnectedTime. Otherwise the end of those sessions would never
+// be received, their viewers would keep them for ever, and the server what is to be released. The cost: one connection each time, and messages of servers without a
 // connection arrive up to some seconds late.
 func (p *Protocol) giveTurn(target *peer) {
-	if len(target.sessions) == 0 || len(target.conns) > 0 || p.now-target.lastConnectedAt < maxDisconnectedTime {
+	if len(target.sessions)+len(target.pendingReleases) == 0 || len(target.conns) > 0 || p.now-target.lastConnectedAt < maxDisconnectedTime {
 		return
 	}
 	var oldest *conn
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -47,6 +47,7 @@
 	moveTimeout           = 1 * policy.Second  // a moved session is released at its old server after this time
 	abandonedTTL          = 10 * policy.Second // an abandoned set-up is remembered, so that a late answer is released
 	pendingReleaseTTL     = 60 * policy.Second
+	sentReleaseTTL        = 10 * policy.Second // servers need not confirm a release
 	maxPendingReleases    = 4096
 )
 
@@ -89,10 +90,14 @@
 //
 // Of connects: Dialed started, Crowded not started at the limit, Refused, Unanswered, and Broke with any other failure.
 // Of connections: Lost by a close of the other side, Spoilt by an invalid message, Stuck with an incomplete one. Of
-// set-ups: Late answers after the abandon, Again those that waited for a second connection.
+// set-ups: Late answers after the abandon, Again those that waited for a second connection, Uncertain those whose
+// connection ended before their answer. Releases counts the releases written, Repeated those written once more because
+// the connection of the one before had ended.
 type Stats struct {
 	Dialed, Crowded, Refused, Unanswered, Broke, Lost, Spoilt, Stuck, Late, Again uint64
 
+	Uncertain, Releases, Repeated uint64
+
 	Tests, Reports, Shorts uint64 // probes sent, reports read, notes of short delivery
 
 	Left uint64 // set-ups not sent because their client had left
@@ -120,6 +125,7 @@
 	moving           map[uint64]Time     // sessions moved away, with the time of their release at this server
 	abandoned        map[uint64]Time     // abandoned set-ups, with the time until which they are remembered
 	pendingReleases  map[uint64]Time     // sessions to release on the next connection, with their expiry time
+	sentReleases     map[uint64]sentRelease
 }
 
 // conn is an open connection.
--- a/internal/platform/servers/sessions.go
+++ b/internal/platform/servers/sessions.go
@@ -7,24 +7,7 @@
 	"tealledge/internal/platform/wire"
 )
 
-// Established sessions: restored, moved, set to another rung, and released at their server, now or on the next
-// connection.
-
-// release ends a session at its server, now or on the next connection.
-func (p *Protocol) release(remote *peer, session uint64) {
-	if remote == nil {
-		return
-	}
-	if remote.current != nil {
-		p.send(remote, remote.current, (&wire.Message{Type: wire.Release,
-			Session: session}).AddCause(wire.CauseEnded))
-		return
-	}
-	if len(remote.pendingReleases) < maxPendingReleases {
-		remote.pendingReleases[session] = p.now + pendingReleaseTTL
-	}
-	p.ensureConn(remote)
-}
+// Established sessions: restored, moved, and set to another rung, now or on the next connection.
 
 // stop ends a session that the core has ended or moved.
 func (p *Protocol) stop(e front.Stop) {
@@ -70,6 +53,7 @@
 	if len(remote.sessions) == 0 {
 		remote.lastConnectedAt = now
 	}
+	remote.forgetReleases(e.Session)
 	a := &attempt{setup: e, startedAt: now, playing: true}
 	p.attempts[e.Session], remote.sessions[e.Session] = a, a
 	p.ensureConn(remote)
--- a/internal/platform/servers/setups.go
+++ b/internal/platform/servers/setups.go
@@ -59,6 +59,10 @@
 		p.retire(remote, remote.current)
 		return
 	}
+	if sent, ok := remote.sentReleases[e.Session]; ok && sent.conn != remote.current {
+		// An earlier attempt of this session at this server may still be there if that connection is dead.
+		p.writeRelease(remote, remote.current, e.Session)
+	}
 	m := &wire.Message{Type: wire.SetUp, Session: e.Session}
 	if e.Class >= 0 && e.Class < len(p.cfg.Classes) {
 		m.Add(wire.ParamClass, p.cfg.Classes[e.Class])
@@ -71,6 +75,7 @@
 		p.end(a, policy.NotSent, nil)
 		return
 	}
+	remote.forgetReleases(e.Session)
 	a.conn, a.endOffset = c, c.sentBytes
 	c.inFlight[e.Session] = a
 }
@@ -118,7 +123,7 @@
 	if a.playing {
 		p.release(remote, e.Session)
 	} else {
-		p.send(remote, c, (&wire.Message{Type: wire.Release, Session: e.Session}).AddCause(wire.CauseEnded))
+		p.writeRelease(remote, c, e.Session)
 		remote.abandoned[e.Session] = p.now + abandonedTTL
 		// If an answer never comes, the connection itself may be dead, and every set-up written there would time out
 		// too. The cost: a server that is only slow gets one connection more.
--- a/internal/platform/servers/setups_test.go
+++ b/internal/platform/servers/setups_test.go
@@ -108,11 +108,12 @@
 	setUpBytes := r.bytes[first] / 2
 	r.loseConn(first, setUpBytes+3) // the second set-up was cut in the middle: a server runs only complete ones
 	r.checkEnded(6, policy.ConnReset)
-	if next := r.connect(); len(r.written[next]) != 1 || r.written[next][0].Session != 7 {
+	next := r.connect()
+	r.checkWritten(next, wire.Release, wire.SetUp) // of the set-up that may have run, and of the unsent one
+	if r.written[next][0].Session != 6 || r.written[next][1].Session != 7 {
 		t.Fatal("unsent set-up was not sent on the next connection")
-	} else {
-		r.loseConn(next, 3)
 	}
+	r.loseConn(next, 3)
 	r.checkEnded(7, policy.NoConnect) // it is retried once only
 	r.setup(8)
 	r.do(front.Abandon{Session: 8, Server: 1, Cause: outcome.Expired})
--- a/internal/platform/servers/tick.go
+++ b/internal/platform/servers/tick.go
@@ -20,7 +20,7 @@
 		// Most of the hundreds of servers are idle: they cost one check each.
 		if remote := p.peers[id]; remote != nil && (remote.removed || remote.probePending ||
 			len(remote.conns)+len(remote.sessions)+len(remote.moving)+len(remote.abandoned)+len(remote.pendingReleases)+
-				len(remote.unsent) > 0) {
+				len(remote.sentReleases)+len(remote.unsent) > 0) {
 			p.tickPeer(remote)
 		}
 	}
@@ -79,6 +79,7 @@
 	}
 	maps.DeleteFunc(remote.abandoned, func(_ uint64, until Time) bool { return p.now >= until })
 	maps.DeleteFunc(remote.pendingReleases, func(_ uint64, until Time) bool { return p.now >= until })
+	maps.DeleteFunc(remote.sentReleases, func(_ uint64, sent sentRelease) bool { return p.now >= sent.until })
 	p.ensureConn(remote)
 	// A machine that went down leaves its connections open and silent, and its viewers without a stream. The cost: one
 	// connect for each silenceTimeout (a few seconds) in which a server sends nothing.
@@ -87,6 +88,7 @@
 	}
 	if remote.removed && len(remote.sessions) == 0 { // a removed process holds nothing to release
 		clear(remote.pendingReleases)
+		clear(remote.sentReleases)
 	}
 	if remote.removed && len(remote.sessions) == 0 && len(remote.unsent) == 0 && len(remote.pendingReleases) == 0 &&
 		len(remote.moving) == 0 && remote.dialing == 0 && !remote.probePending {
--- a/internal/standin/platformsim/servers.go
+++ b/internal/standin/platformsim/servers.go
@@ -21,6 +21,7 @@
 	InvalidReply    bool          // sends bytes that are no message in place of a reply
 	HalfReply       bool          // sends half a reply, and then behaves as with NoReply
 	DuplicateReply  bool          // sends a reply with an unknown session id first, and then the reply twice
+	BreakReply      bool          // sets the session up, sends half its reply and resets the connection
 	CloseConn       bool          // closes the connection in place of a reply
 	HugeText        bool          // sends a reply whose text fits in a message, but not in a line to the viewer
 	EndOnFrontClose bool          // ends the sessions of a connection that the front closes, each release in two parts
@@ -301,6 +302,13 @@
 		s.world.add(event)
 		s.sessions[sid] = session{c, event}
 		m := (&wire.Message{Type: wire.Ready, Session: sid}).Add(wire.ParamText, "by "+s.Name()+"\r\n")
+		if faults.BreakReply {
+			b, _ := m.Append(nil)
+			c.Write(b[:len(b)/2])
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			return
+		}
 		if faults.HugeText {
 			m.Params[0].Value = bytes.Repeat([]byte{1}, wire.MaxMessage/2) // each byte takes six characters in JSON
 		}
