--- a/internal/platform/node/client.go
+++ b/internal/platform/node/client.go
@@ -38,11 +38,11 @@
 	bytes   int   // number of bytes read
 }
 
-// Limits of the input from viewers. Together with the number of connections they bound the memory that viewers can
-// fill, and how long one connection's input keeps the owner goroutine from the others.
+// Limits of input. Together with the number of connections they bound the memory that peers can fill, and how long one
+// connection's input keeps the owner goroutine from the others.
 const (
-	maxReadBytes        = wire.MaxMessage     // bytes read at once
-	maxUnprocessedBytes = 2 * wire.MaxMessage // bytes of one connection that the owner has not processed
+	maxReadBytes        = wire.MaxMessage     // bytes of a viewer read at once
+	maxUnprocessedBytes = 2 * wire.MaxMessage // bytes of one connection of any kind that the owner has not processed
 	maxPeekBytes        = 256 << 10           // unread bytes that are searched for the withdrawal of a request
 )
 
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -89,6 +89,8 @@
 	n.follower = watch.New(cfg.Journal, cfg.JournalPos, rand.Float64)
 	n.serverConns, n.journalConns = transport.NewConns(maxServerQueueBytes, serverWriteTimeout),
 		transport.NewConns(maxServerQueueBytes, serverWriteTimeout)
+	n.serverConns.LimitUnprocessed(maxUnprocessedBytes)
+	n.journalConns.LimitUnprocessed(maxUnprocessedBytes)
 	var err error
 	n.clients, err = listen(cfg.Listen, eventQueue{n})
 	if err != nil {
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -112,6 +112,7 @@
 		delete(n.serverByConn, e.conn)
 	case serverReceived:
 		n.servers.Received(now, n.serverByConn[e.conn], e.conn, e.bytes)
+		n.serverConns.Processed(e.conn, len(e.bytes))
 	case serverClosed:
 		n.servers.Lost(now, n.serverByConn[e.conn], e.conn, e.submitted)
 		delete(n.serverByConn, e.conn)
@@ -121,6 +122,7 @@
 		n.follower.Lost(now, e.conn)
 	case journalReceived:
 		n.follower.Received(now, e.conn, e.lines, e.readErr)
+		n.journalConns.Processed(e.conn, e.bytes)
 	case reloadRequested:
 		n.loadConfig()
 	case configLoaded:
--- a/internal/platform/node/server_faults_test.go
+++ b/internal/platform/node/server_faults_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"bytes"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -144,3 +146,40 @@
 	old.Close()
 	x.closeAndAudit()
 }
+
+// Guards against memory and queue filled by a server that sends without end while the owner goroutine is busy.
+func TestServerCannotFillQueueWhileOwnerIsBusy(t *testing.T) {
+	const (
+		maxItems = 200 // 32 KiB of reads of 4 KiB are 8 items; the rest is for other events
+		total    = 64 << 20
+	)
+	x := newTestFront(t, 1024)
+	begin, flooded := make(chan struct{}), make(chan struct{})
+	scripted := newScriptedServer(t, func(c net.Conn, session uint64) {
+		defer close(flooded)
+		<-begin
+		c.SetWriteDeadline(time.Now().Add(time.Second))
+		progress := bytes.Repeat(encoded(&wire.Message{Type: wire.Trying, Session: session}), 1000)
+		for sent := 0; sent < total; sent += len(progress) {
+			if _, err := c.Write(progress); err != nil {
+				return
+			}
+		}
+	})
+	x.journal.AddServers(false, wire.HostDraining, x.servers...)
+	x.journal.AddHosts(false, wire.Host{Name: "scripted", Address: scripted.listener.Addr().String(), Zone: "z", Kind: "k",
+		Health: wire.HostReady, Share: 10})
+	x.waitFor("listed", func() bool { return x.snapshot().Ready == 1 })
+	v := x.viewer()
+	v.Open(x.newID(), "safe", 1500*time.Millisecond)
+	x.waitFor("set-up", func() bool { return scripted.setUpCount() == 1 })
+	release := x.blockOwner()
+	close(begin)
+	<-flooded
+	if items, _, _ := x.node.queue.Stats(); items > maxItems {
+		t.Errorf("%d items are queued while the owner is busy", items)
+	}
+	release()
+	v.Close()
+	x.stopAll()
+}
--- a/internal/platform/node/sockets.go
+++ b/internal/platform/node/sockets.go
@@ -39,6 +39,7 @@
 		conn    uint64
 		lines   [][]byte
 		readErr error
+		bytes   int // number of bytes read
 	}
 	shutdownRequested struct{}
 	snapshotRequested struct{ reply chan Snapshot }
@@ -86,7 +87,7 @@
 		Failed:    func(error) { n.queue.Force(journalClosed{conn}) },
 		Closed:    func(uint64) { n.queue.Force(journalClosed{conn}) },
 		Read: func(b []byte) {
-			message := journalReceived{conn: conn}
+			message := journalReceived{conn: conn, bytes: len(b)}
 			splitter.Feed(b)
 			for {
 				line, err := splitter.Next()
--- a/internal/transport/conns.go
+++ b/internal/transport/conns.go
@@ -12,12 +12,14 @@
 
 // Conns holds the connections that this side dials, by numbers chosen by the caller.
 type Conns struct {
-	maxQueuedBytes int
-	writeTimeout   time.Duration
-	mu             sync.Mutex
-	writers        map[uint64]*Writer
-	closed         bool
-	running        sync.WaitGroup
+	maxQueuedBytes      int
+	writeTimeout        time.Duration
+	maxUnprocessedBytes int // 0: no limit
+	mu                  sync.Mutex
+	writers             map[uint64]*Writer
+	windows             map[uint64]*Window // empty without maxUnprocessedBytes
+	closed              bool
+	running             sync.WaitGroup
 }
 
 // Handler receives the events of a connection: either Failed alone, or Connected, then Read any number of times, then
@@ -32,7 +34,22 @@
 // NewConns returns an empty set. Each connection queues at most maxQueuedBytes and is closed if its peer accepts
 // nothing for writeTimeout.
 func NewConns(maxQueuedBytes int, writeTimeout time.Duration) *Conns {
-	return &Conns{maxQueuedBytes: maxQueuedBytes, writeTimeout: writeTimeout, writers: map[uint64]*Writer{}}
+	return &Conns{maxQueuedBytes: maxQueuedBytes, writeTimeout: writeTimeout, writers: map[uint64]*Writer{},
+		windows: map[uint64]*Window{}}
+}
+
+// LimitUnprocessed lets each connection be read only while at most maxBytes of it were given to Handler.Read and not
+// yet to Processed. It is called before the first Dial.
+func (s *Conns) LimitUnprocessed(maxBytes int) { s.maxUnprocessedBytes = maxBytes }
+
+// Processed counts bytes of a connection as processed, see LimitUnprocessed.
+func (s *Conns) Processed(conn uint64, bytes int) {
+	s.mu.Lock()
+	w := s.windows[conn]
+	s.mu.Unlock()
+	if w != nil {
+		w.Done(bytes)
+	}
 }
 
 // Dial opens a connection in its own goroutine.
@@ -61,23 +78,43 @@
 		return
 	}
 	s.writers[conn] = w
+	var window *Window
+	if s.maxUnprocessedBytes > 0 {
+		window = NewWindow(s.maxUnprocessedBytes)
+		s.windows[conn] = window
+	}
 	s.mu.Unlock()
 	h.Connected() // before any other event
-	b := make([]byte, readBufferBytes)
-	for err == nil {
-		var n int
-		if n, err = c.Read(b); n > 0 {
-			h.Read(b[:n])
-		}
-	}
+	readAll(c, window, h.Read)
 	s.mu.Lock()
 	delete(s.writers, conn)
+	delete(s.windows, conn)
 	s.mu.Unlock()
 	submitted := w.Stop()
 	c.Close()
 	h.Closed(submitted)
 }
 
+// readAll reads a connection until it ends, while its window, if it has one, has room.
+func readAll(c net.Conn, window *Window, received func(b []byte)) {
+	b := make([]byte, readBufferBytes)
+	for {
+		if window != nil {
+			window.Wait(len(b))
+		}
+		n, err := c.Read(b)
+		if n > 0 {
+			if window != nil {
+				window.Add(n)
+			}
+			received(b[:n])
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // readBufferBytes is the size of the read buffer that each open connection keeps.
 const readBufferBytes = 4 << 10
 
@@ -121,9 +158,15 @@
 
 // CloseConn closes one connection at once.
 func (s *Conns) CloseConn(conn uint64) {
-	if w := s.writer(conn); w != nil {
+	s.mu.Lock()
+	w, window := s.writers[conn], s.windows[conn]
+	s.mu.Unlock()
+	if w != nil {
 		w.Close()
 	}
+	if window != nil {
+		window.Close()
+	}
 }
 
 // Close closes each connection once its queue is written. It waits until all have closed and no dial is in progress.
@@ -134,6 +177,9 @@
 	for _, w := range s.writers {
 		all = append(all, w)
 	}
+	for _, window := range s.windows {
+		window.Close()
+	}
 	s.mu.Unlock()
 	for _, w := range all {
 		w.CloseAfterFlush()
--- a/internal/transport/conns_test.go
+++ b/internal/transport/conns_test.go
@@ -211,3 +211,82 @@
 		t.Errorf("the peer read %d of 4000 bytes", n)
 	}
 }
+
+// Guards against memory that a peer fills without limit: what is not processed bounds what is read, and the rest is
+// read once there is room.
+func TestReadsNoMoreThanUnprocessedLimit(t *testing.T) {
+	const (
+		limit = 16 << 10
+		total = 8 << 20
+	)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			c.Write(make([]byte, total))
+			c.Close()
+		}
+	}()
+	conns := NewConns(1<<16, time.Second)
+	conns.LimitUnprocessed(limit)
+	defer conns.Close()
+	read, closed := make(chan int, total), make(chan struct{})
+	conns.Dial(1, dialer(ln.Addr().String()), Handler{Connected: func() {}, Failed: func(err error) { t.Error(err) },
+		Read: func(b []byte) { read <- len(b) }, Closed: func(uint64) { close(closed) }})
+	sum := 0
+	for quiet := false; !quiet; {
+		select {
+		case n := <-read:
+			sum += n
+		case <-time.After(200 * time.Millisecond):
+			quiet = true
+		}
+	}
+	if sum == 0 || sum > limit {
+		t.Errorf("%d bytes were read with none processed, limit %d", sum, limit)
+	}
+	conns.Processed(1, sum)
+	for sum < total {
+		n := <-read
+		sum += n
+		conns.Processed(1, n)
+	}
+	<-closed
+}
+
+// Guards against a reader that waits forever for room on a connection that is closed.
+func TestClosesConnectionWhoseLimitIsReached(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Write(make([]byte, 64<<10))
+		}
+	}()
+	for name, end := range map[string]func(*Conns){
+		"one": func(s *Conns) { s.CloseConn(1) }, "all": (*Conns).Close,
+	} {
+		conns := NewConns(1<<16, time.Second)
+		conns.LimitUnprocessed(readBufferBytes)
+		read, closed := make(chan struct{}, 64), make(chan struct{})
+		conns.Dial(1, dialer(ln.Addr().String()), Handler{Connected: func() {}, Failed: func(err error) { t.Error(err) },
+			Read: func([]byte) { read <- struct{}{} }, Closed: func(uint64) { close(closed) }})
+		<-read
+		go end(conns)
+		select {
+		case <-closed:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s: the connection's end is not reported", name)
+		}
+	}
+}
