Turns of viewers' input end only once all of the connection's input is processed

Cause, found on reading the change again: the wait in a turn asked for 32 KiB of room in a window of 256 KiB and returned early, so that floods past the limit of 1 MiB could each leave 256 KiB unprocessed. Change: it asks for the whole window.

--- a/internal/platform/node/client.go
+++ b/internal/platform/node/client.go
@@ -74,7 +74,7 @@
 		}
 		c.bulkTurns.run(func() {
 			burstBytes += c.passOn(k, n, keep)
-			k.window.Wait(maxUnprocessedBytes) // until all is processed
+			k.window.Wait(maxBurstBytes) // until all is processed
 		})
 	}
 }
