Log each request, answer and close during a shutdown, and when the kill may come

During a shutdown, the lines of the trace are now logged at level info, at most 2,000 of them: requests with the time since they were read, set-ups, how attempts ended, answers, refusals and failures with their reason, and connections with the reason of their close. A line 'ending' is the last one.

What the front does is unchanged.

--- a/cmd/tealledge/platform.go
+++ b/cmd/tealledge/platform.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"tealledge/internal/platform/node"
 )
@@ -26,8 +27,7 @@
 func (c *platformCmd) Run() error {
 	// Handle signals before anything else: a signal that arrives earlier, such as SIGHUP to a front that is still
 	// starting, would end the process.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	signals := receiveSignals(syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
 	cfg, err := node.Load(c.Config)
 	if err != nil {
 		return err
@@ -49,11 +49,11 @@
 	defer stop()
 	go func() {
 		for s := range signals {
-			switch s {
+			switch s.signal {
 			case syscall.SIGHUP:
 				n.Reload()
 			case syscall.SIGTERM:
-				n.Shutdown()
+				n.Shutdown(s.receivedAt)
 			default:
 				stop()
 			}
@@ -64,3 +64,24 @@
 	}
 	return nil
 }
+
+// receivedSignal is a signal and the time when it was received.
+type receivedSignal struct {
+	signal     os.Signal
+	receivedAt time.Time
+}
+
+// receiveSignals receives signals from now on. Their times are taken at once: a front that is still starting handles
+// them later, and the time of its kill counts from SIGTERM.
+func receiveSignals(kinds ...os.Signal) <-chan receivedSignal {
+	const maxWaiting = 8
+	raw := make(chan os.Signal, maxWaiting)
+	signal.Notify(raw, kinds...)
+	received := make(chan receivedSignal, maxWaiting)
+	go func() {
+		for s := range raw {
+			received <- receivedSignal{s, time.Now()}
+		}
+	}()
+	return received
+}
--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -34,14 +34,14 @@
 		if s := c.unanswered(a.ID, "refuse"); s != nil {
 			if c.paid(s) && (s.mayHaveRun || s.inFlight) {
 				c.fault("refusal of a paid session that may have run: %d", s.id)
-				c.fail(s)
+				c.fail(s, ReasonMayHaveRun)
 				return
 			}
-			c.refuse(s, a.After)
+			c.refuse(s, a.After, ReasonModule)
 		}
 	case policy.Fail:
 		if s := c.unanswered(a.ID, "fail"); s != nil {
-			c.fail(s)
+			c.fail(s, ReasonModule)
 		}
 	case policy.Cancel:
 		if s := c.sessions[a.ID]; s != nil && s.inFlight && !s.abandoned && s.attempts-1 == a.Attempt {
@@ -170,18 +170,18 @@
 	}
 }
 
-func (c *Core) refuse(s *session, retryAfter Time) {
+func (c *Core) refuse(s *session, retryAfter Time, reason AnswerReason) {
 	if c.answer(s) {
 		c.stats.Refused++
-		c.emit(Refused{s.request.Player, s.id, retryAfter})
+		c.emit(Refused{s.request.Player, s.id, retryAfter, reason})
 		c.close(s)
 	}
 }
 
-func (c *Core) fail(s *session) {
+func (c *Core) fail(s *session, reason AnswerReason) {
 	if c.answer(s) {
 		c.stats.Failed++
-		c.emit(Failed{s.request.Player, s.id})
+		c.emit(Failed{s.request.Player, s.id, reason})
 		c.close(s)
 	}
 }
@@ -206,7 +206,7 @@
 	}
 	c.fault("no answer from the module in time: session %d", s.id)
 	c.feed(policy.ViewerLeft{ID: s.id})
-	c.fail(s)
+	c.fail(s, ReasonNoDecision)
 }
 
 func (c *Core) fault(format string, args ...any) {
--- a/internal/front/api.go
+++ b/internal/front/api.go
@@ -180,14 +180,29 @@
 	Player     uint64
 	Session    uint64
 	RetryAfter Time
+	Reason     AnswerReason
 }
 
 // Failed is the answer to a request that failed; it does not say whether a set-up ran.
 type Failed struct {
 	Player  uint64
 	Session uint64
+	Reason  AnswerReason
 }
 
+// AnswerReason is the reason for which a request was refused or failed, for the log.
+type AnswerReason string
+
+// Reasons of refusals and failures.
+const (
+	ReasonModule       AnswerReason = "module"              // the module decided it
+	ReasonMayHaveRun   AnswerReason = "may have run"        // the module's refusal of a paid request is not allowed
+	ReasonDraining     AnswerReason = "draining"            // the shell starts no new sessions
+	ReasonPastDeadline AnswerReason = "past its deadline"   // the deadline passed before the module got it
+	ReasonNoDecision   AnswerReason = "no decision in time" // the module did not answer
+	ReasonFrontLeaving AnswerReason = "front leaving"       // the front leaves service
+)
+
 // RungChanged notifies a player of a new rung.
 type RungChanged struct {
 	Player, Session uint64
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -166,11 +166,11 @@
 	c.stats.Taken++
 	c.openRequests++
 	if request.Draining {
-		c.refuse(s, c.cfg.Settings.MaxRetryAfter)
+		c.refuse(s, c.cfg.Settings.MaxRetryAfter, ReasonDraining)
 		return
 	}
 	if admission.PastDeadline(c.now, s.deadline) {
-		c.fail(s)
+		c.fail(s, ReasonPastDeadline)
 		return
 	}
 	c.timers.set(timer{at: s.deadline - c.cfg.FailsafeMargin, kind: timerFailsafe, session: s.id})
@@ -323,9 +323,9 @@
 		}
 		if !s.answered {
 			if !s.mayHaveRun && !s.inFlight || !c.paid(s) {
-				c.refuse(s, c.cfg.Settings.MaxRetryAfter)
+				c.refuse(s, c.cfg.Settings.MaxRetryAfter, ReasonFrontLeaving)
 			} else {
-				c.fail(s)
+				c.fail(s, ReasonFrontLeaving)
 			}
 		}
 		if s.playing {
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -61,10 +61,12 @@
 	serverIDs      serverIDs
 	serverByConn   map[uint64]uint32 // server of each connection to servers
 	shutdownAt     front.Time        // when SIGTERM was received; 0: not received
+	earliestKill   front.Time        // when a front that is shutting down may be killed
 	clientActiveAt front.Time        // when a viewer last connected or sent something
 	done           chan struct{}
 
 	reloading, reloadAgain bool // a configuration is being read; it must be read once more
+	shutdownTraceLines     int  // lines that trace has logged during the shutdown
 }
 
 // New creates a front from its configuration and listens. Viewers are served once Run is called.
@@ -145,8 +147,5 @@
 	return <-served
 }
 
-// Shutdown starts a graceful shutdown: the front serves on until no request can be pending any more.
-func (n *Node) Shutdown() { n.queue.Force(shutdownRequested{}) }
-
 // sortedNames returns the keys in order.
 func sortedNames(m map[string]uint32) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -53,6 +53,7 @@
 		}
 		if n.finished(now) || ctx.Err() != nil {
 			n.logSnapshot()
+			n.logEnd(now)
 			return
 		}
 		if len(batch) == maxBatch {
@@ -74,23 +75,6 @@
 	}
 }
 
-// finished reports whether a front that is shutting down can stop: no request is open, no session is held, no request
-// is half received, no answer is unwritten, and viewers have sent nothing for a while, so that no request is unread
-// in a socket or in the queue. Closing a connection with unread input discards that input and the bytes just written.
-// Sessions that are playing would end with the front.
-func (n *Node) finished(now front.Time) bool {
-	if n.shutdownAt == 0 || now < n.shutdownAt+shutdownDelay {
-		return false
-	}
-	// Sessions may play forever; requests have a deadline.
-	if now >= n.shutdownAt+shutdownTimeout && n.core.OpenRequests() == 0 {
-		return true
-	}
-	waiting, _, _ := n.queue.Stats()
-	return n.core.OpenRequests() == 0 && n.core.SessionCount() == 0 && waiting == 0 &&
-		now >= n.clientActiveAt+shutdownQuietWindow && !n.viewers.HasPartialLine() && n.clients.drained()
-}
-
 // handle processes one item of the queue.
 func (n *Node) handle(item any) {
 	now := n.now()
@@ -129,8 +113,7 @@
 		n.applyConfig(now, e)
 	case shutdownRequested:
 		if n.shutdownAt == 0 {
-			n.shutdownAt = now
-			n.log.Info().Int("open", n.core.OpenRequests()).Int("held", n.core.SessionCount()).Msg("leaving")
+			n.beginShutdown(e.receivedAt)
 		}
 	case snapshotRequested:
 		e.reply <- n.takeSnapshot()
@@ -171,6 +154,7 @@
 		}
 		viewerEffects, viewerEvents := n.viewers.Take()
 		for _, a := range viewerEffects {
+			n.trace(a)
 			if a.Close {
 				n.clients.closeAfter(a.Conn, a.Bytes)
 			} else {
--- a/internal/platform/node/shutdown_test.go
+++ b/internal/platform/node/shutdown_test.go
@@ -32,7 +32,7 @@
 		s.SetFaults(platformsim.Faults{ReplyDelay: 100 * time.Millisecond})
 	}
 	v := x.viewer()
-	time.AfterFunc(200*time.Millisecond, x.node.Shutdown)
+	time.AfterFunc(200*time.Millisecond, func() { x.node.Shutdown(time.Now()) })
 	for sid := range x.openMany(v, 30, 20*time.Millisecond) {
 		v.Cancel(sid)
 	}
@@ -47,7 +47,7 @@
 	v := x.viewer()
 	sid := x.newID()
 	text := platformsim.OpenLine(sid, "safe", 1500*time.Millisecond, "")
-	x.node.Shutdown()
+	x.node.Shutdown(time.Now())
 	time.Sleep(time.Duration(shutdownDelay) - 300*time.Millisecond)
 	for part := range slices.Chunk([]byte(text), len(text)/5+1) { // parts arrive until after shutdownDelay
 		if err := v.Write(string(part)); err != nil {
--- a/internal/platform/node/sockets.go
+++ b/internal/platform/node/sockets.go
@@ -41,7 +41,7 @@
 		readErr error
 		bytes   int // number of bytes read
 	}
-	shutdownRequested struct{}
+	shutdownRequested struct{ receivedAt front.Time } // when the signal was received
 	snapshotRequested struct{ reply chan Snapshot }
 )
 
--- a/internal/platform/node/trace.go
+++ b/internal/platform/node/trace.go
@@ -6,19 +6,38 @@
 	"github.com/rs/zerolog"
 
 	"tealledge/internal/front"
+	"tealledge/internal/platform/viewers"
 	"tealledge/internal/platform/wire"
 	"tealledge/policy"
 )
 
-// trace logs an event for the core, an effect of the core, or an event of a connection to a server, and ignores other
-// items. With one line for each, a session id can be followed through the logs of all fronts that had the session. It
-// logs only at level debug: a line costs microseconds, which add up on a small part of a core.
+// maxShutdownTraceLines bounds the lines of trace during a shutdown.
+const maxShutdownTraceLines = 2000
+
+// traceLine starts a line of trace, or returns nil if trace logs nothing now. It logs at level debug, and during a
+// shutdown at level info: a line costs microseconds, which add up on a small part of a core.
+func (n *Node) traceLine() *zerolog.Event {
+	if n.shutdownAt != 0 && n.shutdownTraceLines < maxShutdownTraceLines {
+		n.shutdownTraceLines++
+		return n.log.Info()
+	}
+	return n.log.Debug()
+}
+
+// traceOff reports whether trace logs nothing now.
+func (n *Node) traceOff() bool {
+	return n.log.GetLevel() > zerolog.DebugLevel &&
+		(n.shutdownAt == 0 || n.shutdownTraceLines >= maxShutdownTraceLines)
+}
+
+// trace logs an event for the core, an effect of the core, or an event of a connection, and ignores other items. With
+// one line for each, a session id can be followed through the logs of all fronts that had the session.
 func (n *Node) trace(item any) {
-	if n.log.GetLevel() > zerolog.DebugLevel {
+	if n.traceOff() {
 		return
 	}
 	entry := func(sid uint64, server uint32) *zerolog.Event {
-		l := n.log.Debug()
+		l := n.traceLine()
 		if sid != 0 {
 			l.Str("sid", wire.Sid(sid))
 		}
@@ -30,7 +49,8 @@
 	ms := func(t front.Time) int64 { return t / policy.Millisecond }
 	switch e := item.(type) {
 	case front.Request:
-		entry(e.ID, 0).Int("class", e.Class).Int64("left", ms(e.Timeout)).Msg("ask")
+		entry(e.ID, 0).Int("class", e.Class).Int64("left", ms(e.Timeout)).Uint64("conn", e.Player).
+			Int64("read_ms_ago", ms(n.now()-e.ReadAt)).Msg("ask")
 	case front.Restore:
 		entry(e.ID, e.Server).Msg("session restored")
 	case front.Leave:
@@ -48,9 +68,9 @@
 	case front.Plays:
 		entry(e.Session, e.Server).Msg("plays")
 	case front.Refused:
-		entry(e.Session, 0).Int64("after", ms(e.RetryAfter)).Msg("refused")
+		entry(e.Session, 0).Int64("after", ms(e.RetryAfter)).Str("why", string(e.Reason)).Msg("refused")
 	case front.Failed:
-		entry(e.Session, 0).Msg("failed")
+		entry(e.Session, 0).Str("why", string(e.Reason)).Msg("failed")
 	case front.Moved:
 		entry(e.Session, 0).Msg("moved")
 	case front.SessionEnded:
@@ -61,6 +81,14 @@
 		entry(0, e.Server).Int("status", int(e.Status)).Int64("took", ms(e.Took)).Msg("tested")
 	case front.Withdraw:
 		entry(0, e.Server).Msg("withdrawn")
+	case clientAccepted:
+		entry(0, 0).Uint64("conn", e.conn).Msg("viewer connected")
+	case clientClosed:
+		entry(0, 0).Uint64("conn", e.conn).Msg("viewer's connection ended")
+	case viewers.Effect:
+		if e.Close {
+			entry(0, 0).Uint64("conn", e.Conn).Str("why", string(e.Reason)).Msg("closing viewer's connection")
+		}
 	case serverConnected:
 		entry(0, n.serverByConn[e.conn]).Uint64("conn", e.conn).Msg("connected")
 	case serverDialFailed:
--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -87,7 +87,7 @@
 		return
 	}
 	p.Stats.Evicted++
-	p.closeConn(victim, nil)
+	p.closeConn(victim, nil, CloseEvicted)
 }
 
 // noPendingInput reports whether a connection may be closed as unused. A request that was read, or lies in the socket,
@@ -97,10 +97,10 @@
 }
 
 // closeConn closes a connection after a last reply. Its open requests can't be answered any more and are abandoned.
-func (p *Protocol) closeConn(c *client, reply []byte) {
+func (p *Protocol) closeConn(c *client, reply []byte, reason CloseReason) {
 	if !c.closed {
 		c.closed = true
-		p.effects = append(p.effects, Effect{Conn: c.id, Bytes: reply, Close: true})
+		p.effects = append(p.effects, Effect{Conn: c.id, Bytes: reply, Close: true, Reason: reason})
 		p.abandonRequests(c)
 	}
 }
@@ -138,13 +138,13 @@
 		case c.closed:
 		case !c.sentValidLine && now-c.connectedAt >= p.cfg.SilentTimeout && p.noPendingInput(c):
 			p.Stats.Silent++
-			p.closeConn(c, nil)
+			p.closeConn(c, nil, CloseSilent)
 		case c.partialSince != 0 && now-c.partialSince >= p.cfg.PartialLineTimeout:
 			p.reject(c, 0, errors.New("a line that does not end"))
 		case c.sentValidLine && len(c.openRequests) == 0 && c.established == 0 &&
 			now-c.lastReceivedAt >= p.cfg.IdleTimeout && p.noPendingInput(c):
 			p.Stats.Idle++
-			p.closeConn(c, nil)
+			p.closeConn(c, nil, CloseIdle)
 		case c.established > 0 && carrier == nil:
 			carrier = c
 		}
--- a/internal/platform/viewers/receive.go
+++ b/internal/platform/viewers/receive.go
@@ -77,7 +77,7 @@
 	reply := p.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseMalformed,
 		Attrs: map[string]string{"error": truncated(err)}})
 	if sid == 0 {
-		p.closeConn(c, reply)
+		p.closeConn(c, reply, CloseInvalid)
 		return
 	}
 	p.send(c, reply)
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -36,11 +36,23 @@
 
 // Effect is an operation that the shell carries out on a connection: write Bytes, then close it if Close is set.
 type Effect struct {
-	Conn  uint64
-	Bytes []byte
-	Close bool
+	Conn   uint64
+	Bytes  []byte
+	Close  bool
+	Reason CloseReason // for the log
 }
 
+// CloseReason is the reason for which a connection is closed.
+type CloseReason string
+
+// Reasons of closes.
+const (
+	CloseEvicted CloseReason = "too many connections"
+	CloseSilent  CloseReason = "no valid line"
+	CloseIdle    CloseReason = "idle"
+	CloseInvalid CloseReason = "invalid input"
+)
+
 // Protocol holds the protocol state of all viewers.
 type Protocol struct {
 	cfg             Config
