Failing test: requests taken during a shutdown are unanswered at the earliest kill

Clients go on sending on open connections after SIGTERM, servers hang or take 0.9 s, and SIGKILL comes at the earliest time of the protocol page.

--- /dev/null
+++ b/cmd/tealledge/trial_client_test.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"tealledge/internal/platform/wire"
+	"tealledge/internal/standin/platformsim"
+)
+
+// Terms of the protocol page for requests that a front leaves without an answer.
+const (
+	crossingWindow = 50 * time.Millisecond  // a request that crosses the end of a connection by less is sent again
+	answerGrace    = 500 * time.Millisecond // past the client's wait; an answer that comes later is lost
+	shutdownGrace  = 700 * time.Millisecond // requests this soon after SIGTERM may be unanswered at SIGKILL
+)
+
+// trialClient sends requests in the way of the platform's clients: on a free open connection, or on a new one where
+// none is free.
+type trialClient struct {
+	addr     string
+	mu       sync.Mutex
+	conns    map[*trialConn]bool
+	requests []*trialRequest
+	waiting  sync.WaitGroup // for the ends of connections and for requests to be sent
+}
+
+// trialConn is a connection of a trialClient.
+type trialConn struct {
+	net.Conn
+	writing sync.Mutex // held while a request is written, however slowly
+	open    map[uint64]*trialRequest
+}
+
+// trialRequest is a request and what became of it.
+type trialRequest struct {
+	sid        uint64
+	class      string
+	wait       time.Duration
+	pieces     int           // number of parts that it is written in
+	pause      time.Duration // between the parts
+	conn       *trialConn
+	sentAt     time.Time // when its last byte was written
+	answeredAt time.Time
+	answer     wire.Line
+	endedAt    time.Time // when its connection ended without an answer
+	notTaken   string    // why it was never taken: the connection was refused or broke before the last byte
+	resent     bool
+}
+
+func newTrialClient(addr string) *trialClient {
+	return &trialClient{addr: addr, conns: map[*trialConn]bool{}}
+}
+
+// connect opens a connection. The probe makes it known to the front as a client's.
+func (c *trialClient) connect() (*trialConn, error) {
+	raw, err := net.DialTimeout("tcp", c.addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	conn := &trialConn{Conn: raw, open: map[uint64]*trialRequest{}}
+	fmt.Fprintln(conn, `{"msg":"probe","sid":"0000000000000001","attrs":{},"code":0}`)
+	c.mu.Lock()
+	c.conns[conn] = true
+	c.mu.Unlock()
+	c.waiting.Go(func() { c.read(conn) })
+	return conn, nil
+}
+
+// read records answers until the connection ends.
+func (c *trialClient) read(conn *trialConn) {
+	r := bufio.NewReaderSize(conn, wire.MaxMessage)
+	for {
+		text, err := r.ReadSlice('\n')
+		now := time.Now()
+		if err != nil {
+			c.ended(conn, now)
+			return
+		}
+		line, err := wire.ParseLine(text[:len(text)-1])
+		if err != nil {
+			continue
+		}
+		c.mu.Lock()
+		if r := conn.open[line.Sid]; r != nil && (line.Msg == wire.LineReady || line.Msg == wire.LineClose) {
+			r.answeredAt, r.answer = now, line
+			delete(conn.open, line.Sid)
+		}
+		c.mu.Unlock()
+	}
+}
+
+// ended records the end of a connection. Requests that crossed it are sent again, once.
+func (c *trialClient) ended(conn *trialConn, now time.Time) {
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.conns, conn)
+	for sid, r := range conn.open {
+		delete(conn.open, sid)
+		switch {
+		case r.sentAt.IsZero(): // its writer sees the end
+		case now.Sub(r.sentAt) < crossingWindow && !r.resent:
+			r.resent = true
+			c.waiting.Go(func() { c.write(r) })
+		default:
+			r.endedAt = now
+		}
+	}
+}
+
+// send sends a request from another goroutine.
+func (c *trialClient) send(r *trialRequest) {
+	c.mu.Lock()
+	c.requests = append(c.requests, r)
+	c.mu.Unlock()
+	c.waiting.Go(func() { c.write(r) })
+}
+
+// write writes a request to a free connection or, if it is sent again or none is free, to a new one.
+func (c *trialClient) write(r *trialRequest) {
+	conn := c.reserve(r)
+	if conn == nil {
+		var err error
+		if conn, err = c.connect(); err != nil {
+			r.notTaken = err.Error()
+			return
+		}
+		c.mu.Lock()
+		conn.open[r.sid] = r
+		c.mu.Unlock()
+	}
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
+	c.mu.Lock()
+	r.conn, r.sentAt = conn, time.Time{}
+	c.mu.Unlock()
+	text := strings.Replace(platformsim.OpenLine(r.sid, r.class, r.wait, ""), "copies:3", "copies:1", 1)
+	pieces := max(r.pieces, 1)
+	for i := range pieces {
+		if i > 0 {
+			time.Sleep(r.pause)
+		}
+		if i == pieces-1 { // before the write: the answer may come before it returns
+			c.mu.Lock()
+			r.sentAt = time.Now()
+			c.mu.Unlock()
+		}
+		if _, err := conn.Write([]byte(text[i*len(text)/pieces : (i+1)*len(text)/pieces])); err != nil {
+			c.mu.Lock()
+			r.notTaken = err.Error()
+			delete(conn.open, r.sid)
+			c.mu.Unlock()
+			return
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.conns[conn] && r.answeredAt.IsZero() && r.endedAt.IsZero() && !r.resent && conn.open[r.sid] == nil {
+		r.notTaken = "the connection ended while the request was written"
+	}
+}
+
+// reserve takes a free open connection for a request, or returns nil.
+func (c *trialClient) reserve(r *trialRequest) *trialConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.resent {
+		return nil
+	}
+	for conn := range c.conns {
+		if len(conn.open) == 0 {
+			conn.open[r.sid] = r
+			return conn
+		}
+	}
+	return nil
+}
+
+// lost returns the requests that the front left without an answer by the rules of the protocol page, each with the
+// reason. killed tells whether the process ended by SIGKILL and not by itself.
+func (c *trialClient) lost(termAt time.Time, killed bool) (list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.requests {
+		reason := ""
+		switch {
+		case r.sentAt.IsZero() || r.notTaken != "":
+		case !r.answeredAt.IsZero():
+			if late := r.answeredAt.Sub(r.sentAt) - r.wait; late > answerGrace {
+				reason = fmt.Sprintf("answered %v after its time", late)
+			}
+		case !r.endedAt.IsZero() && r.endedAt.Sub(r.sentAt) < r.wait+answerGrace:
+			if !killed || r.sentAt.Sub(termAt) > shutdownGrace {
+				reason = fmt.Sprintf("its connection ended %v after it was sent", r.endedAt.Sub(r.sentAt))
+			}
+		default:
+			reason = "no answer in its time"
+		}
+		if reason != "" {
+			list = append(list, fmt.Sprintf("request %s (%s, waits %v), sent %v after SIGTERM: %s", wire.Sid(r.sid),
+				r.class, r.wait, r.sentAt.Sub(termAt).Round(time.Millisecond), reason))
+		}
+	}
+	return list
+}
+
+// count returns the number of requests that played, were refused, failed, and were never taken.
+func (c *trialClient) count() (played, refused, failed, notTaken int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.requests {
+		switch {
+		case r.answer.Msg == wire.LineReady:
+			played++
+		case r.answer.Msg == wire.LineClose && r.answer.Code == wire.CauseRefused:
+			refused++
+		case r.answer.Msg == wire.LineClose:
+			failed++
+		case r.notTaken != "" || r.sentAt.IsZero():
+			notTaken++
+		}
+	}
+	return played, refused, failed, notTaken
+}
