A stopping front answers every request before the earliest kill, and then ends

Cause: after SIGTERM the front went on as if it had all time: requests kept deadlines of up to 5 s, although the platform may kill the front 3.7 s after SIGTERM, or sooner with short deadlines, and open connections stayed open up to the kill. Nothing in the front knew the time of its own end.

Change: decide/shutdown derives a plan from the settings. The core limits every deadline to it, refuses at once what it leaves too little time, and answers what is open at its end (front.Shutdown). The front then stops listening, closes connections on which nothing is pending, and ends 50 ms before the earliest kill. Nothing can be unanswered at the kill because nothing is connected any more.

TestShutdownWaitsForOpenRequestPastItsTimeout is replaced by TestShutdownNeverEndsWithRequestOpen: the limit of 60 s that it named is gone, and the same two checks hold at the end of the plan.

--- a/decide/shutdown/shutdown_test.go
+++ b/decide/shutdown/shutdown_test.go
@@ -28,3 +28,35 @@
 		}
 	}
 }
+
+// A request must be refused only if the shutdown takes most of its time, and no admitted one may be answered after
+// AnswerBy, which has to come before the earliest kill, as all that follows.
+func TestPlanAdmitsOnlyWhatItCanAnswer(t *testing.T) {
+	plan := NewPlan(3700 * ms)
+	if !(plan.AnswerBy < plan.CloseAt && plan.CloseAt < plan.ForceCloseAt && plan.ForceCloseAt < plan.EndBy &&
+		plan.EndBy < 3700*ms) {
+		t.Errorf("the times are not in order: %+v", plan)
+	}
+	for name, c := range map[string]struct {
+		now, deadline policy.Time
+		admitted      bool
+	}{
+		"long before the end":             {100 * ms, 3100 * ms, true},
+		"deadline after the end":          {2000 * ms, 7000 * ms, true},
+		"too little time left":            {plan.AnswerBy - minAttemptTime + 1, 7000 * ms, false},
+		"little time, but it asks little": {plan.AnswerBy - 100*ms, plan.AnswerBy, true},
+		"at least half of its time":       {plan.AnswerBy - 100*ms, plan.AnswerBy + 100*ms, true},
+		"after the end":                   {plan.AnswerBy + 1, plan.AnswerBy + 20*ms, false},
+	} {
+		if got := plan.Admits(c.now, c.deadline); got != c.admitted {
+			t.Errorf("%s: admitted %v", name, got)
+		}
+		if by := plan.LimitDeadline(c.deadline); by > plan.AnswerBy || by > c.deadline {
+			t.Errorf("%s: answered by %d ms", name, by/ms)
+		}
+	}
+	early := plan.EndEarly(1500 * ms)
+	if early.Admits(1500*ms, 1600*ms) || early.CloseAt != 1500*ms || early.EndBy != plan.EndBy {
+		t.Errorf("ended early: %+v", early)
+	}
+}
--- a/internal/front/api.go
+++ b/internal/front/api.go
@@ -8,11 +8,13 @@
 // set-up of a paid session that may have run.
 //
 // This file declares the interface. core.go handles events, actions.go executes the module's decisions, restore.go and
-// resume.go handle sessions after a restart and after a lost connection, and timers.go holds the timers.
+// resume.go handle sessions after a restart and after a lost connection, leaving.go the end of the front, and timers.go
+// holds the timers.
 package front
 
 import (
 	"tealledge/decide/outcome"
+	"tealledge/decide/shutdown"
 	"tealledge/policy"
 )
 
@@ -113,6 +115,10 @@
 // CloseAll ends all sessions because the front leaves service.
 type CloseAll struct{}
 
+// Shutdown announces that the front ends by a plan. Open and new requests are answered in time for it, and those that
+// it leaves too little time are refused. Sessions are not affected. A later Shutdown replaces the plan.
+type Shutdown struct{ Plan shutdown.Plan }
+
 // Effect is an output of the core for the shell to carry out.
 type Effect interface{}
 
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -3,6 +3,7 @@
 import (
 	"tealledge/decide/admission"
 	"tealledge/decide/outcome"
+	"tealledge/decide/shutdown"
 	"tealledge/policy"
 )
 
@@ -22,6 +23,7 @@
 	pendingEvents []policy.Event // for the module, in order of arrival
 	feeding       bool
 	closing       bool              // CloseAll was received
+	shutdown      *shutdown.Plan    // nil: the front is not shutting down
 	detached      map[uint64]uint64 // sessions that wait to be resumed, by viewer
 }
 
@@ -99,6 +101,8 @@
 			}
 		case timerFailsafe:
 			c.failUnanswered(c.sessions[t.session])
+		case timerShutdown:
+			c.answerAll()
 		case timerResume:
 			c.expireDetached(t)
 		}
@@ -133,6 +137,8 @@
 		c.feed(e.Vacate)
 	case CloseAll:
 		c.closeAll()
+	case Shutdown:
+		c.beginShutdown(e.Plan)
 	}
 }
 
@@ -173,6 +179,13 @@
 		c.fail(s, ReasonPastDeadline)
 		return
 	}
+	if c.shutdown != nil {
+		if !c.shutdown.Admits(c.now, s.deadline) {
+			c.refuse(s, c.cfg.Settings.MaxRetryAfter, ReasonFrontLeaving)
+			return
+		}
+		s.deadline = c.shutdown.LimitDeadline(s.deadline)
+	}
 	c.timers.set(timer{at: s.deadline - c.cfg.FailsafeMargin, kind: timerFailsafe, session: s.id})
 	spec := policy.SessionSpec{ID: s.id, Title: request.Title, Viewer: request.Viewer, Class: request.Class,
 		Tenant: request.Tenant, Home: request.Home, Copies: request.Copies, Top: request.Top,
@@ -314,27 +327,6 @@
 	c.feed(list)
 }
 
-func (c *Core) closeAll() {
-	c.closing = true
-	for _, id := range sortedKeys(c.sessions) {
-		s := c.sessions[id]
-		if s == nil || s.closed {
-			continue
-		}
-		if !s.answered {
-			if !s.mayHaveRun && !s.inFlight || !c.paid(s) {
-				c.refuse(s, c.cfg.Settings.MaxRetryAfter, ReasonFrontLeaving)
-			} else {
-				c.fail(s, ReasonFrontLeaving)
-			}
-		}
-		if s.playing {
-			c.emit(SessionEnded{s.request.Player, s.id, EndReasonFrontLeaving})
-		}
-		c.leave(s)
-	}
-}
-
 // Sessions calls fn for each session held, in the order of IDs.
 func (c *Core) Sessions(fn func(id, player uint64, playing bool)) {
 	for _, id := range sortedKeys(c.sessions) {
--- a/internal/front/timers.go
+++ b/internal/front/timers.go
@@ -1,6 +1,9 @@
 package front
 
-import "tealledge/internal/timerwheel"
+import (
+	"tealledge/decide/shutdown"
+	"tealledge/internal/timerwheel"
+)
 
 // timerKind is the purpose of a timer.
 type timerKind uint8
@@ -10,6 +13,7 @@
 	timerAttempt                   // an attempt timed out
 	timerFailsafe                  // a request is still unanswered shortly before its deadline
 	timerResume                    // a detached session was not resumed in time
+	timerShutdown                  // all open requests are to be answered
 )
 
 type timer struct {
@@ -59,10 +63,11 @@
 		Tokens   moveTokens
 		Detached map[uint64]uint64
 		Closing  bool
+		Shutdown *shutdown.Plan
 		NextID   uint64
 		Timers   []timerwheel.PendingTimer[timer]
 		Module   Module
-	}{c.sessions, c.openRequests, c.readyServers, c.moveTokens, c.detached, c.closing, c.nextID, pending,
+	}{c.sessions, c.openRequests, c.readyServers, c.moveTokens, c.detached, c.closing, c.shutdown, c.nextID, pending,
 		c.cfg.Module}
 }
 
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -111,9 +111,12 @@
 	return !c.acceptPending()
 }
 
+// stopListening closes the listener. Connections that were accepted stay open.
+func (c *clients) stopListening() { c.listener.Close() }
+
 // close closes the listener, and all connections once their output is written or ctx has ended.
 func (c *clients) close(ctx context.Context) {
-	c.listener.Close()
+	c.stopListening()
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tealledge/decide/shutdown"
 	"tealledge/internal/front"
 	"tealledge/internal/inbox"
 	"tealledge/internal/platform/servers"
@@ -35,10 +36,7 @@
 	defaultMaxConns     = 4096                    // connections of each kind if no limit is configured
 	minServers          = 8                       // connections are reserved for at least this many servers
 	statsInterval       = 10 * policy.Second
-	shutdownDelay       = 1500 * policy.Millisecond // requests may arrive this long after SIGTERM; includes a margin
-	shutdownQuietWindow = 300 * policy.Millisecond  // viewers must have sent nothing for this long
-	shutdownTimeout     = 60 * policy.Second        // then sessions are no longer waited for, only open requests
-	maxServerQueueBytes = 256 << 10                 // unwritten bytes on one connection to a server
+	maxServerQueueBytes = 256 << 10 // unwritten bytes on one connection to a server
 	// If the kernel's buffer is full and a server reads nothing for this long, its connection is closed. The owner
 	// goroutine writes to servers itself: all others wait meanwhile, and their answers have 50 ms of slack.
 	serverWriteTimeout = 20 * time.Millisecond
@@ -61,7 +59,8 @@
 	serverIDs      serverIDs
 	serverByConn   map[uint64]uint32 // server of each connection to servers
 	shutdownAt     front.Time        // when SIGTERM was received; 0: not received
-	earliestKill   front.Time        // when a front that is shutting down may be killed
+	shutdownPlan   shutdown.Plan     // valid if shutdownAt is set
+	closing        bool              // the listener is closed, and viewers' connections are being closed
 	clientActiveAt front.Time        // when a viewer last connected or sent something
 	done           chan struct{}
 
@@ -132,7 +131,7 @@
 // now returns the module's time: Unix time at the start, monotonic from there.
 func (n *Node) now() front.Time { return n.startedAt.UnixNano() + int64(time.Since(n.startedAt)) }
 
-// Run serves until ctx ends or, after Shutdown, until no request can be pending any more.
+// Run serves until ctx ends or, after Shutdown, until the front has ended.
 func (n *Node) Run(ctx context.Context) error {
 	served := make(chan error, 1)
 	go func() { served <- n.clients.serve() }()
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -51,7 +51,7 @@
 			statsAt = now + statsInterval
 			n.logSnapshot()
 		}
-		if n.finished(now) || ctx.Err() != nil {
+		if n.advanceShutdown(now) || ctx.Err() != nil {
 			n.logSnapshot()
 			n.logEnd(now)
 			return
--- a/internal/platform/node/shutdown_test.go
+++ b/internal/platform/node/shutdown_test.go
@@ -48,8 +48,8 @@
 	sid := x.newID()
 	text := platformsim.OpenLine(sid, "safe", 1500*time.Millisecond, "")
 	x.node.Shutdown(time.Now())
-	time.Sleep(time.Duration(shutdownDelay) - 300*time.Millisecond)
-	for part := range slices.Chunk([]byte(text), len(text)/5+1) { // parts arrive until after shutdownDelay
+	time.Sleep(time.Duration(earlyEndDelay) - 300*time.Millisecond)
+	for part := range slices.Chunk([]byte(text), len(text)/5+1) { // parts arrive until after earlyEndDelay
 		if err := v.Write(string(part)); err != nil {
 			t.Fatal(err)
 		}
@@ -64,9 +64,9 @@
 	x.stopAndAudit()
 }
 
-// After shutdownTimeout, a front that shuts down no longer waits for playing sessions, but it still waits for an open
-// request, whose deadline may be later.
-func TestShutdownWaitsForOpenRequestPastItsTimeout(t *testing.T) {
+// A front ended with requests open when its time was up, if their deadlines were later. It must not end with a request
+// open, however long its core takes to answer.
+func TestShutdownNeverEndsWithRequestOpen(t *testing.T) {
 	n := newListedNode(t, 3)
 	defer n.clients.close(context.Background())
 	now := n.now()
@@ -78,14 +78,14 @@
 	if n.core.OpenRequests() != 1 {
 		t.Fatalf("%d open", n.core.OpenRequests())
 	}
-	n.shutdownAt = now
-	late := now + shutdownTimeout + policy.Second
-	if n.finished(late) {
+	n.beginShutdown(now)
+	late := n.shutdownPlan.EndBy + policy.Second
+	if n.advanceShutdown(late) {
 		t.Error("the front ends with a request open")
 	}
 	n.step(front.Leave{Session: 7})
 	n.processEffects()
-	if n.core.OpenRequests() != 0 || !n.finished(late) {
+	if n.core.OpenRequests() != 0 || !n.advanceShutdown(late) {
 		t.Errorf("%d requests open, or the front does not end without any", n.core.OpenRequests())
 	}
 }
--- a/internal/platform/servers/releases.go
+++ b/internal/platform/servers/releases.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// PendingReleases returns the number of releases that wait for a connection.
+func (p *Protocol) PendingReleases() (n int) {
+	for _, remote := range p.peers {
+		n += len(remote.pendingReleases)
+	}
+	return n
+}
+
 // requeueReleases keeps the unconfirmed releases of a connection that has ended for another one. If there is one, it
 // gets all releases at once: the core may send the next attempt of a session right after this.
 func (p *Protocol) requeueReleases(remote *peer, ended *conn) {
--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -113,6 +113,29 @@
 	}
 }
 
+// CloseQuiet closes the connections of a front that leaves on which nothing is pending and nothing was received for
+// quietTime. Established sessions are not bound to their connection.
+func (p *Protocol) CloseQuiet(now, quietTime Time) {
+	p.now = now
+	for _, id := range slices.Sorted(maps.Keys(p.conns)) {
+		c := p.conns[id]
+		if len(c.openRequests) == 0 && c.partialSince == 0 && now-c.lastReceivedAt >= quietTime && p.noPendingInput(c) {
+			p.closeConn(c, nil, CloseLeaving)
+		}
+	}
+}
+
+// CloseUnanswering closes the connections of a front that leaves, except for those on which a request waits for its
+// answer.
+func (p *Protocol) CloseUnanswering(now Time) {
+	p.now = now
+	for _, id := range slices.Sorted(maps.Keys(p.conns)) {
+		if c := p.conns[id]; len(c.openRequests) == 0 {
+			p.closeConn(c, nil, CloseLeaving)
+		}
+	}
+}
+
 // Lost handles the end of a connection: its open requests are abandoned; established sessions are not bound to it.
 func (p *Protocol) Lost(now Time, conn uint64) {
 	p.now = now
--- a/internal/platform/viewers/connections_test.go
+++ b/internal/platform/viewers/connections_test.go
@@ -101,3 +101,30 @@
 		t.Errorf("last line %+v, closed %v", l, r.closed[3])
 	}
 }
+
+// A connection that a leaving front closes must have nothing pending: a request that was read, or waits in the socket,
+// would be lost with it.
+func TestLeavingFrontClosesOnlyQuietConnections(t *testing.T) {
+	r := newRig(t)
+	r.p.SetMaxConns(10)
+	unread := uint64(5)
+	r.p.cfg.NoPendingInput = func(conn uint64) bool { return conn != unread }
+	for conn := uint64(2); conn <= 6; conn++ {
+		r.accept(conn)
+	}
+	r.clientSends(2, openLine(5, validAttrs))          // an open request
+	r.establish(3, 6)                                  // a session: it is not bound to its connection
+	r.p.Received(r.now, r.now, 4, nil, nil, true, nil) // an incomplete line
+	r.advance(50 * ms)
+	r.clientSends(6, `{"msg":"probe","sid":"0000000000000001","code":0}`)
+	r.p.CloseQuiet(r.now, 40*ms)
+	r.take()
+	if got := slices.Sorted(maps.Keys(r.closed)); !slices.Equal(got, []uint64{1, 3}) {
+		t.Errorf("closed %v, want 1 and 3", got)
+	}
+	r.p.CloseUnanswering(r.now)
+	r.take()
+	if got := slices.Sorted(maps.Keys(r.closed)); !slices.Equal(got, []uint64{1, 3, 4, 5, 6}) {
+		t.Errorf("closed %v at last, want all but 2", got)
+	}
+}
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -51,6 +51,7 @@
 	CloseSilent  CloseReason = "no valid line"
 	CloseIdle    CloseReason = "idle"
 	CloseInvalid CloseReason = "invalid input"
+	CloseLeaving CloseReason = "front leaving"
 )
 
 // Protocol holds the protocol state of all viewers.
