A series of SIGHUP before the front is ready no longer displaces SIGTERM

Cause: SIGHUP, SIGTERM and interrupts shared a channel of 8, which nothing reads before the configuration is loaded; os/signal drops what does not fit. Each kind has its own channel now: several SIGHUP are one reload, and SIGTERM always fits.

TestSeriesOfSIGHUPBeforeReadyKeepsSIGTERM: before, the process still ran 10 s after SIGTERM; now it ends.

--- a/cmd/tealledge/platform.go
+++ b/cmd/tealledge/platform.go
@@ -72,16 +72,18 @@
 }
 
 // receiveSignals receives signals from now on. Their times are taken at once: a front that is still starting handles
-// them later, and the time of its kill counts from SIGTERM.
+// them later, and the time of its kill counts from SIGTERM. Each kind has its own channel: a series of one kind doesn't
+// displace another.
 func receiveSignals(kinds ...os.Signal) <-chan receivedSignal {
-	const maxWaiting = 8
-	raw := make(chan os.Signal, maxWaiting)
-	signal.Notify(raw, kinds...)
-	received := make(chan receivedSignal, maxWaiting)
-	go func() {
-		for s := range raw {
-			received <- receivedSignal{s, time.Now()}
-		}
-	}()
+	received := make(chan receivedSignal)
+	for _, kind := range kinds {
+		raw := make(chan os.Signal, 1)
+		signal.Notify(raw, kind)
+		go func() {
+			for s := range raw {
+				received <- receivedSignal{s, time.Now()}
+			}
+		}()
+	}
 	return received
 }
--- a/cmd/tealledge/signals_test.go
+++ b/cmd/tealledge/signals_test.go
@@ -87,6 +87,37 @@
 	})
 }
 
+// A series of SIGHUP before the configuration was read displaced the SIGTERM after it, and the process served on until it
+// was killed.
+func TestSeriesOfSIGHUPBeforeReadyKeepsSIGTERM(t *testing.T) {
+	first := startFront(t, siteSettings(), nil, "", 256) // writes the configuration file
+	first.cmd.Process.Kill()
+	<-first.ended
+	text := replaceWithPipe(t, first.path)
+	p := startFromFile(t, first.path, first.addr)
+	pipe := p.waitForReader(first.path)
+	for range 40 {
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(5 * time.Millisecond) // the system merges signals that are pending together
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(20 * time.Millisecond)
+	os.Remove(first.path)
+	if err := os.WriteFile(first.path, text, 0o600); err != nil { // for the reload
+		t.Fatal(err)
+	}
+	pipe.Write(text)
+	pipe.Close()
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			t.Errorf("%v: %s", err, p.log.String())
+		}
+	case <-time.After(10 * time.Second):
+		t.Errorf("the process still runs 10 s after SIGTERM: %s", p.log.String())
+	}
+}
+
 // Requests must be answered while a new configuration is read, however long that takes. Then the new configuration must
 // be applied.
 func TestServesWhileConfigurationIsRead(t *testing.T) {
