A late owner no longer counts a timed-out request as a fault of the module

The viewer's outcome was right; the log and the counter reported a bug that was none.

Cause: the module gets the end of an attempt 10 ms before the deadline, the core's last check is 2 ms before it. If the owner goroutine is over 8 ms late, both timers fire in one call of Advance: the attempt is abandoned, and the request is still open when it is checked, as the end of the attempt reaches the module only afterwards. The check now fails such a request without reporting a fault; if the attempt was abandoned in an earlier call, or the module simply decides nothing, it is reported as before.

--- a/internal/front/actions.go
+++ b/internal/front/actions.go
@@ -103,6 +103,7 @@
 
 func (c *Core) abandon(s *session, cause outcome.Cause) {
 	s.abandoned = true
+	c.justAbandoned = append(c.justAbandoned, s.id)
 	c.emit(Abandon{s.id, s.attempts - 1, s.server, cause})
 }
 
@@ -199,11 +200,17 @@
 }
 
 // failUnanswered fails a request that the module did not answer in time. It guards against a bug in the module or the
-// core that would leave a player waiting forever; it never acts while both work correctly.
+// core that would leave a player waiting forever. Without one, it acts only on an attempt that timed out in the same
+// call of Advance, as the owner of the core is late: the module gets the end of that attempt after this.
 func (c *Core) failUnanswered(s *session) {
 	if s == nil || s.answered || s.closed {
 		return
 	}
+	if slices.Contains(c.justAbandoned, s.id) {
+		c.feed(policy.ViewerLeft{ID: s.id})
+		c.fail(s, ReasonPastDeadline)
+		return
+	}
 	c.fault("no answer from the module in time: session %d", s.id)
 	c.feed(policy.ViewerLeft{ID: s.id})
 	c.fail(s, ReasonNoDecision)
--- a/internal/front/core.go
+++ b/internal/front/core.go
@@ -20,6 +20,7 @@
 	stats        Stats
 
 	effects       []Effect
+	justAbandoned []uint64       // sessions whose attempt was abandoned in this call of Step or Advance
 	pendingEvents []policy.Event // for the module, in order of arrival
 	feeding       bool
 	closing       bool              // CloseAll was received
@@ -81,7 +82,7 @@
 func (c *Core) setTime(now Time) {
 	c.now = max(now, c.now, 1) // the time never goes back, even if the clock does
 	c.timers.start(c.now)
-	c.effects = c.effects[:0]
+	c.effects, c.justAbandoned = c.effects[:0], c.justAbandoned[:0]
 }
 
 func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
