--- a/cmd/tealledge/shutdown_test.go
+++ b/cmd/tealledge/shutdown_test.go
@@ -93,5 +93,9 @@
 	p.t.Helper()
 	p.cmd.Process.Kill()
 	err := <-p.ended
-	return err != nil && strings.Contains(err.Error(), "killed")
+	killed := err != nil && strings.Contains(err.Error(), "killed")
+	if err != nil && !killed {
+		p.t.Errorf("the process ended with %v", err)
+	}
+	return killed
 }
--- a/cmd/tealledge/trial_client_test.go
+++ b/cmd/tealledge/trial_client_test.go
@@ -26,14 +26,16 @@
 	mu       sync.Mutex
 	conns    map[*trialConn]bool
 	requests []*trialRequest
+	extra    []string       // answers after the first one
 	waiting  sync.WaitGroup // for the ends of connections and for requests to be sent
 }
 
 // trialConn is a connection of a trialClient.
 type trialConn struct {
 	net.Conn
-	writing sync.Mutex // held while a request is written, however slowly
-	open    map[uint64]*trialRequest
+	writing  sync.Mutex // held while a request is written, however slowly
+	open     map[uint64]*trialRequest
+	answered map[uint64]*trialRequest // answered with a refusal or failure: nothing may follow
 }
 
 // trialRequest is a request and what became of it.
@@ -41,8 +43,12 @@
 	sid        uint64
 	class      string
 	wait       time.Duration
+	copies     int           // number of servers that hold its title; 0: one
 	pieces     int           // number of parts that it is written in
 	pause      time.Duration // between the parts
+	shared     bool          // it may be sent on a connection with open requests
+	leaveAfter time.Duration // its client gives it up after this time; 0: it waits
+	left       bool          // its client has given it up: no answer is owed any more
 	conn       *trialConn
 	sentAt     time.Time // when its last byte was written
 	answeredAt time.Time
@@ -62,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &trialConn{Conn: raw, open: map[uint64]*trialRequest{}}
+	conn := &trialConn{Conn: raw, open: map[uint64]*trialRequest{}, answered: map[uint64]*trialRequest{}}
 	fmt.Fprintln(conn, `{"msg":"probe","sid":"0000000000000001","attrs":{},"code":0}`)
 	c.mu.Lock()
 	c.conns[conn] = true
@@ -89,6 +95,11 @@
 		if r := conn.open[line.Sid]; r != nil && (line.Msg == wire.LineReady || line.Msg == wire.LineClose) {
 			r.answeredAt, r.answer = now, line
 			delete(conn.open, line.Sid)
+			if line.Msg == wire.LineClose {
+				conn.answered[line.Sid] = r
+			}
+		} else if conn.answered[line.Sid] != nil && line.Msg != wire.LineClosed && line.Msg != wire.LineProbed {
+			c.extra = append(c.extra, fmt.Sprintf("request %s got %q after its answer", wire.Sid(line.Sid), line.Msg))
 		}
 		c.mu.Unlock()
 	}
@@ -118,7 +129,26 @@
 	c.mu.Lock()
 	c.requests = append(c.requests, r)
 	c.mu.Unlock()
-	c.waiting.Go(func() { c.write(r) })
+	c.waiting.Go(func() {
+		c.write(r)
+		if r.leaveAfter > 0 {
+			time.Sleep(r.leaveAfter)
+			c.leave(r)
+		}
+	})
+}
+
+// leave gives a request up, or ends its session.
+func (c *trialClient) leave(r *trialRequest) {
+	c.mu.Lock()
+	conn := r.conn
+	r.left = r.left || r.answeredAt.IsZero() && conn != nil && conn.open[r.sid] != nil
+	c.mu.Unlock()
+	if conn != nil {
+		conn.writing.Lock()
+		defer conn.writing.Unlock()
+		fmt.Fprintf(conn, `{"msg":"close","sid":"%016x","attrs":{},"code":16}`+"\n", r.sid)
+	}
 }
 
 // write writes a request to a free connection or, if it is sent again or none is free, to a new one.
@@ -139,7 +169,8 @@
 	c.mu.Lock()
 	r.conn, r.sentAt = conn, time.Time{}
 	c.mu.Unlock()
-	text := strings.Replace(platformsim.OpenLine(r.sid, r.class, r.wait, ""), "copies:3", "copies:1", 1)
+	text := strings.Replace(platformsim.OpenLine(r.sid, r.class, r.wait, ""), "copies:3",
+		fmt.Sprintf("copies:%d", max(r.copies, 1)), 1)
 	pieces := max(r.pieces, 1)
 	for i := range pieces {
 		if i > 0 {
@@ -173,7 +204,7 @@
 		return nil
 	}
 	for conn := range c.conns {
-		if len(conn.open) == 0 {
+		if len(conn.open) == 0 || r.shared {
 			conn.open[r.sid] = r
 			return conn
 		}
@@ -189,7 +220,7 @@
 	for _, r := range c.requests {
 		reason := ""
 		switch {
-		case r.sentAt.IsZero() || r.notTaken != "":
+		case r.sentAt.IsZero() || r.notTaken != "" || r.left:
 		case !r.answeredAt.IsZero():
 			if late := r.answeredAt.Sub(r.sentAt) - r.wait; late > answerGrace {
 				reason = fmt.Sprintf("answered %v after its time", late)
@@ -206,7 +237,7 @@
 				r.class, r.wait, r.sentAt.Sub(termAt).Round(time.Millisecond), reason))
 		}
 	}
-	return list
+	return append(list, c.extra...)
 }
 
 // count returns the number of requests that played, were refused, failed, and were never taken.
