A log that is not read no longer blocks the owner goroutine

Found while checking what the additional log lines of a shutdown can do: the front's log is a pipe of 64 KiB. If its reader stalls, the owner goroutine waited in write(2), and all requests with it; during a shutdown they would have been unanswered at the kill.

--- a/cmd/tealledge/main.go
+++ b/cmd/tealledge/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/pprof"
@@ -60,16 +61,20 @@
 
 // newLogger returns a logger to standard error. An unknown level means info.
 func newLogger(level string, pretty bool) zerolog.Logger {
+	if pretty {
+		return newLoggerTo(zerolog.ConsoleWriter{Out: os.Stderr}, level)
+	}
+	return newLoggerTo(os.Stderr, level)
+}
+
+// newLoggerTo is newLogger with another output.
+func newLoggerTo(out io.Writer, level string) zerolog.Logger {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
-	log := zerolog.New(os.Stderr)
-	if pretty {
-		log = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr})
-	}
-	return log.Level(l).With().Timestamp().Logger()
+	return zerolog.New(out).Level(l).With().Timestamp().Logger()
 }
 
 func (c *serveCmd) Run(ctx context.Context) error {
--- a/cmd/tealledge/platform.go
+++ b/cmd/tealledge/platform.go
@@ -41,7 +41,9 @@
 		debug.SetMemoryLimit(int64(float64(memory) * heapShare))
 		debug.SetGCPercent(50)
 	}
-	n, err := node.New(cfg, c.Config, newLogger(c.LogLevel, false))
+	logWriter := newDroppingWriter(os.Stderr)
+	defer logWriter.flush()
+	n, err := node.New(cfg, c.Config, newLoggerTo(logWriter, c.LogLevel))
 	if err != nil {
 		return err
 	}
