--- a/cmd/tealledge/logwriter.go
+++ b/cmd/tealledge/logwriter.go
@@ -11,7 +11,7 @@
 // Limits of a droppingWriter.
 const (
 	maxWaitingLines = 4096
-	logFlushTimeout = 20 * time.Millisecond // the process ends 50 ms before it may be killed
+	logFlushTimeout = 20 * time.Millisecond // the process ends 100 ms before it may be killed
 )
 
 // droppingWriter writes log lines in another goroutine and drops the oldest ones if they are not read in time, so that
--- a/cmd/tealledge/shutdown_soak_test.go
+++ b/cmd/tealledge/shutdown_soak_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -15,6 +16,7 @@
 
 	"tealledge/internal/audit"
 	"tealledge/internal/platform/wire"
+	"tealledge/internal/record"
 	"tealledge/internal/standin/platformsim"
 )
 
@@ -299,6 +301,28 @@
 	})
 }
 
+// flood has bad clients that send at full speed from now until a given time.
+func (x *shutdownTrial) flood(until time.Time) {
+	line := []string{`{"msg":"open","sid":"00000000000000ff","attrs":{"class":"none"},"text":"x"}` + "\n",
+		`{"msg":"close","sid":"00000000000000fe","attrs":{},"code":16}` + "\n"}[x.random.IntN(2)]
+	text := []byte(strings.Repeat(line, 1000))
+	addr := x.front.addr
+	for range 1 + x.random.IntN(6) {
+		x.others.Go(func() {
+			conn, err := net.DialTimeout("tcp", addr, time.Second)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			conn.SetDeadline(until)
+			go io.Copy(io.Discard, conn)
+			for err == nil {
+				_, err = conn.Write(text)
+			}
+		})
+	}
+}
+
 // shutDown sends the signals of a planned restart, goes on sending until the kill, and checks what clients got.
 func (x *shutdownTrial) shutDown() {
 	if x.chance(0.3) { // all servers hang through the whole shutdown
@@ -312,6 +336,9 @@
 	termAt := time.Now()
 	x.signal(syscall.SIGTERM)
 	killAt := termAt.Add(killAfter(x.longest()))
+	if x.chance(0.15) {
+		x.flood(killAt.Add(-x.between(0, killAt.Sub(termAt)/2)))
+	}
 	for time.Now().Before(killAt) {
 		if x.chance(0.02) {
 			x.signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[x.random.IntN(2)])
@@ -331,7 +358,7 @@
 	}
 	played, refused, failed, notTaken := x.client.count()
 	x.t.Logf("killed: %v; %d played, %d refused, %d failed, %d not taken", killed, played, refused, failed, notTaken)
-	if x.t.Failed() {
+	if x.t.Failed() || killed {
 		x.t.Logf("SIGTERM at %d, earliest kill %v later\n%s", termAt.UnixMicro(), killAt.Sub(termAt), text)
 	}
 }
@@ -348,6 +375,16 @@
 	for _, v := range report.Violations {
 		if v.Rule == audit.RuleOnce || v.Rule == audit.RuleDrain {
 			x.t.Error(v)
+			x.logRecords(v.Event)
+		}
+	}
+}
+
+// logRecords logs what is recorded of the session of an event, and of the servers' processes and connections.
+func (x *shutdownTrial) logRecords(of record.Event) {
+	for _, e := range x.world.Recorder.Events() {
+		if e.Session == of.Session || e.Kind == record.ServerDied || e.Kind == record.ServerConnEnded {
+			x.t.Logf("%d %+v", e.At, e)
 		}
 	}
 }
--- a/decide/shutdown/shutdown.go
+++ b/decide/shutdown/shutdown.go
@@ -27,12 +27,13 @@
 	return signalledAt + min(longest, maxCountedDeadline) + killDelay
 }
 
-// Times before the earliest kill. They leave room for a front that gets its part of a core late.
+// Times before the earliest kill. They leave room for a front that gets its part of a core late, and receives even
+// SIGTERM late.
 const (
-	answerMargin = 250 * policy.Millisecond // every request is answered by then
-	closeMargin  = 200 * policy.Millisecond // no connection is accepted any more, and quiet ones are closed
-	forceMargin  = 100 * policy.Millisecond // all other connections are closed
-	endMargin    = 50 * policy.Millisecond  // the process ends
+	answerMargin = 300 * policy.Millisecond // every request is answered by then
+	closeMargin  = 250 * policy.Millisecond // no connection is accepted any more, and quiet ones are closed
+	forceMargin  = 150 * policy.Millisecond // all other connections are closed
+	endMargin    = 100 * policy.Millisecond // the process ends
 )
 
 // minAttemptTime is the least time for which a request is worth an attempt at a server. A request that the shutdown
