--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -140,6 +140,9 @@
 		}
 		serverEffects, serverEvents := n.servers.Take()
 		for _, a := range serverEffects {
+			if a.Close {
+				n.trace(a)
+			}
 			switch {
 			case a.Dial != "":
 				n.serverByConn[a.Conn] = a.Server
@@ -154,8 +157,8 @@
 		}
 		viewerEffects, viewerEvents := n.viewers.Take()
 		for _, a := range viewerEffects {
-			n.trace(a)
 			if a.Close {
+				n.trace(a)
 				n.clients.closeAfter(a.Conn, a.Bytes)
 			} else {
 				n.clients.send(a.Conn, a.Bytes)
--- a/internal/platform/node/trace.go
+++ b/internal/platform/node/trace.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"tealledge/internal/front"
+	"tealledge/internal/platform/servers"
 	"tealledge/internal/platform/viewers"
 	"tealledge/internal/platform/wire"
 	"tealledge/policy"
@@ -86,9 +87,9 @@
 	case clientClosed:
 		entry(0, 0).Uint64("conn", e.conn).Msg("viewer's connection ended")
 	case viewers.Effect:
-		if e.Close {
-			entry(0, 0).Uint64("conn", e.Conn).Str("why", string(e.Reason)).Msg("closing viewer's connection")
-		}
+		entry(0, 0).Uint64("conn", e.Conn).Str("why", string(e.Reason)).Msg("closing viewer's connection")
+	case servers.Effect:
+		entry(0, e.Server).Uint64("conn", e.Conn).Str("why", string(e.Reason)).Msg("closing connection")
 	case serverConnected:
 		entry(0, n.serverByConn[e.conn]).Uint64("conn", e.conn).Msg("connected")
 	case serverDialFailed:
--- a/internal/platform/servers/connections.go
+++ b/internal/platform/servers/connections.go
@@ -70,7 +70,7 @@
 		}
 	}
 	if victim != nil {
-		p.removeConn(owner, victim, victim.sentBytes)
+		p.removeConn(owner, victim, victim.sentBytes, CloseReplaced)
 		return true
 	}
 	for _, remote := range p.peers {
@@ -92,7 +92,7 @@
 		return false
 	}
 	owner.redialAt = max(owner.redialAt, p.now+minRedialDelay)
-	p.removeConn(owner, victim, victim.sentBytes)
+	p.removeConn(owner, victim, victim.sentBytes, CloseEvicted)
 	return true
 }
 
@@ -101,7 +101,7 @@
 	p.now = now
 	remote := p.peers[server]
 	if remote == nil || remote.dialing != connID {
-		p.effects = append(p.effects, Effect{Server: server, Conn: connID, Close: true})
+		p.effects = append(p.effects, Effect{Server: server, Conn: connID, Close: true, Reason: CloseUnwanted})
 		p.openConns-- // its server was removed, or dials another connection
 		return
 	}
@@ -188,7 +188,7 @@
 	}
 	if c := remote.conns[connID]; c != nil {
 		p.Stats.Lost++
-		p.dropConn(remote, c, submitted)
+		p.dropConn(remote, c, submitted, CloseEnded)
 	}
 }
 
@@ -212,19 +212,19 @@
 }
 
 // dropConn closes a connection, ends what was open on it, and opens another if one is needed.
-func (p *Protocol) dropConn(remote *peer, c *conn, submitted uint64) {
-	p.removeConn(remote, c, submitted)
+func (p *Protocol) dropConn(remote *peer, c *conn, submitted uint64, reason CloseReason) {
+	p.removeConn(remote, c, submitted, reason)
 	p.ensureConn(remote)
 }
 
 // removeConn closes a connection and ends what was open on it.
-func (p *Protocol) removeConn(remote *peer, c *conn, submitted uint64) {
+func (p *Protocol) removeConn(remote *peer, c *conn, submitted uint64, reason CloseReason) {
 	delete(remote.conns, c.id)
 	p.openConns--
 	if remote.current == c {
 		remote.current = nil
 	}
-	p.effects = append(p.effects, Effect{Server: remote.server, Conn: c.id, Close: true})
+	p.effects = append(p.effects, Effect{Server: remote.server, Conn: c.id, Close: true, Reason: reason})
 	uncertain := false
 	for _, id := range sorted(c.inFlight) {
 		a := c.inFlight[id]
--- a/internal/platform/servers/invariants_test.go
+++ b/internal/platform/servers/invariants_test.go
@@ -68,6 +68,9 @@
 func (o *simulation) take() {
 	effects, events := o.p.Take()
 	for _, a := range effects {
+		if a.Close && a.Reason == "" {
+			o.Fatalf("a close without a reason: %+v", a)
+		}
 		c := o.connections[a.Conn]
 		switch {
 		case a.Dial != "":
--- a/internal/platform/servers/liveness.go
+++ b/internal/platform/servers/liveness.go
@@ -37,7 +37,7 @@
 			}
 			for c := range remote.eachConn {
 				if c.connectedAt < s.Started {
-					p.dropConn(remote, c, c.sentBytes)
+					p.dropConn(remote, c, c.sentBytes, CloseRestarted)
 				}
 			}
 			remote.refusedDials, remote.timedOutDials = 0, 0
@@ -100,6 +100,6 @@
 		p.queueRelease(remote, id)
 	}
 	for c := range remote.eachConn {
-		p.dropConn(remote, c, c.sentBytes)
+		p.dropConn(remote, c, c.sentBytes, CloseDown)
 	}
 }
--- a/internal/platform/servers/receive.go
+++ b/internal/platform/servers/receive.go
@@ -30,7 +30,7 @@
 		}
 		if err != nil { // later messages can't be delimited any more: the connection is unusable
 			p.Stats.Spoilt++
-			p.dropConn(remote, c, c.sentBytes)
+			p.dropConn(remote, c, c.sentBytes, CloseUnreadable)
 			return
 		}
 		if m == nil {
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -59,9 +59,26 @@
 	Timeout    Time   // time limit of a dial
 	CloseWrite bool   // close the writing side; incoming data is still read
 	Close      bool
+	Reason     CloseReason // of Close, for the log
 	Bytes      []byte
 }
 
+// CloseReason is the reason for which a connection is closed.
+type CloseReason string
+
+// Reasons of closes.
+const (
+	CloseEvicted    CloseReason = "too many connections"
+	CloseReplaced   CloseReason = "replaced"         // its server did not close it in time after the front's half
+	CloseUnwanted   CloseReason = "not wanted"       // it came up when its server was gone, or had another connect
+	CloseEnded      CloseReason = "ended"            // the server or the network ended it
+	CloseUnreadable CloseReason = "unreadable input" // no message of a server
+	CloseStuck      CloseReason = "half a message"   // its rest did not come in time
+	CloseRestarted  CloseReason = "server restarted" // the list says so
+	CloseDown       CloseReason = "server down"      // the process or its machine is considered down
+	CloseGone       CloseReason = "server gone"      // it left the list, and nothing is left to do
+)
+
 // Server is an entry of the server list.
 type Server struct {
 	ID       uint32
--- a/internal/platform/servers/tick.go
+++ b/internal/platform/servers/tick.go
@@ -64,9 +64,9 @@
 		switch {
 		case c.partialSince != 0 && p.now-c.partialSince >= partialMessageTimeout:
 			p.Stats.Stuck++
-			p.dropConn(remote, c, c.sentBytes)
+			p.dropConn(remote, c, c.sentBytes, CloseStuck)
 		case c.writeClosedAt != 0 && p.now-c.writeClosedAt >= halfCloseTimeout:
-			p.dropConn(remote, c, c.sentBytes)
+			p.dropConn(remote, c, c.sentBytes, CloseReplaced)
 		case c.writeClosedAt == 0 && c.retired && len(c.inFlight) == 0 && len(c.probes) == 0 && remote.current != nil:
 			p.closeWrite(remote, c)
 		}
@@ -98,7 +98,7 @@
 		}
 		if inFlight == 0 {
 			for c := range remote.eachConn {
-				p.dropConn(remote, c, c.sentBytes)
+				p.dropConn(remote, c, c.sentBytes, CloseGone)
 			}
 			delete(p.peers, remote.server)
 			p.peerIDs = nil
--- a/internal/platform/viewers/invariants_test.go
+++ b/internal/platform/viewers/invariants_test.go
@@ -56,6 +56,9 @@
 func (o *simulation) take() {
 	effects, events := o.p.Take()
 	for _, a := range effects {
+		if a.Close && a.Reason == "" {
+			o.Fatalf("a close without a reason: %+v", a)
+		}
 		c := o.conns[a.Conn]
 		if c == nil || c.closedByFront || c.lost {
 			o.Fatalf("%q written to closed connection %d: %+v", a.Bytes, a.Conn, c)
