An answer that can't be passed on is released on its own connection

Cause: if a server's answer fits no line to the viewer, or comes after its set-up was abandoned, the session is released, and in the first case the core tries another server at once. The release was written to the server's current connection. If the connection of the answer takes no new set-ups, because a set-up timed out on it in silence, there is none, and the release waited for a connect. It is written to the connection of the answer now, unless its writing side is closed.

TestReleasesUnusableAnswerOnItsOwnConnection failed before.

--- a/internal/platform/servers/receive.go
+++ b/internal/platform/servers/receive.go
@@ -96,7 +96,7 @@
 	if a == nil || a.conn != c || a.playing {
 		if _, late := remote.abandoned[m.Session]; late && a == nil { // the answer crossed the release
 			p.Stats.Late++
-			p.release(remote, m.Session)
+			p.releaseAnswered(remote, c, m.Session)
 		}
 		return nil // of an unknown session, or a duplicate
 	}
@@ -108,7 +108,7 @@
 	if !fitsLine(m.Session, string(text)) {
 		// Counted as established, it would fail its viewer and still count in the server's favour: the next set-up
 		// would go there too.
-		p.release(remote, m.Session)
+		p.releaseAnswered(remote, c, m.Session)
 		p.end(a, policy.Errored, p.report(m))
 		return nil
 	}
--- a/internal/platform/servers/releases.go
+++ b/internal/platform/servers/releases.go
@@ -25,6 +25,16 @@
 	p.ensureConn(remote)
 }
 
+// releaseAnswered ends a session at its server on the connection of its answer, though that may take no new set-ups:
+// the core may send the next attempt elsewhere right after this.
+func (p *Protocol) releaseAnswered(remote *peer, c *conn, session uint64) {
+	if c.writeClosedAt != 0 {
+		p.release(remote, session)
+		return
+	}
+	p.writeRelease(remote, c, session)
+}
+
 // queueRelease keeps a release for the next connection.
 func (p *Protocol) queueRelease(remote *peer, session uint64) {
 	if len(remote.pendingReleases) < maxPendingReleases {
--- a/internal/platform/servers/releases_test.go
+++ b/internal/platform/servers/releases_test.go
@@ -1,6 +1,7 @@
 package servers
 
 import (
+	"strings"
 	"testing"
 
 	"tealledge/decide/outcome"
@@ -162,3 +163,20 @@
 		t.Fatal("no connection makes room for the release")
 	}
 }
+
+// Guards against two attempts out at the same time: an answer that fits no line to the viewer is an error, and the core
+// tries elsewhere at once, but its release waited for a new connection if its own one took no new set-ups.
+func TestReleasesUnusableAnswerOnItsOwnConnection(t *testing.T) {
+	r := newRig(t)
+	r.setup(5)
+	conn := r.connect()
+	r.setup(6)
+	r.advance(100 * ms)
+	r.do(front.Abandon{Session: 6, Server: 1, Cause: outcome.Expired}) // no answer: the connection takes no new set-ups
+	huge := (&wire.Message{Type: wire.Ready, Session: 5}).Add(wire.ParamText, strings.Repeat("\x01", wire.MaxMessage/2))
+	r.serverSends(conn, huge)
+	r.checkEnded(5, policy.Errored)
+	if m := r.lastWritten(conn); m.Type != wire.Release || m.Session != 5 {
+		t.Errorf("last written: %+v, want the release of session 5; connects %+v", m, r.dials)
+	}
+}
