--- a/cmd/tealledge/signals_test.go
+++ b/cmd/tealledge/signals_test.go
@@ -45,16 +45,23 @@
 	}
 }
 
-// startAndSignal starts the program on a pipe, signals it while it reads, and then writes the configuration, which it
-// returns.
-func startAndSignal(t *testing.T, sig syscall.Signal) (p *process, text []byte) {
+// startReading starts the program on a pipe, which it reads, and returns the end for writing and the configuration to be
+// written.
+func startReading(t *testing.T) (p *process, pipe *os.File, text []byte) {
 	t.Helper()
 	first := startFront(t, siteSettings(), nil, "", 256) // writes the configuration file
 	first.cmd.Process.Kill()
 	<-first.ended
 	text = replaceWithPipe(t, first.path)
 	p = startFromFile(t, first.path, first.addr)
-	pipe := p.waitForReader(first.path)
+	return p, p.waitForReader(first.path), text
+}
+
+// startAndSignal signals the program while it reads its configuration, and then writes the configuration, which it
+// returns.
+func startAndSignal(t *testing.T, sig syscall.Signal) (p *process, text []byte) {
+	t.Helper()
+	p, pipe, text := startReading(t)
 	p.cmd.Process.Signal(sig)
 	pipe.Write(text)
 	pipe.Close()
@@ -90,20 +97,15 @@
 // A series of SIGHUP before the configuration was read displaced the SIGTERM after it, and the process served on until it
 // was killed.
 func TestSeriesOfSIGHUPBeforeReadyKeepsSIGTERM(t *testing.T) {
-	first := startFront(t, siteSettings(), nil, "", 256) // writes the configuration file
-	first.cmd.Process.Kill()
-	<-first.ended
-	text := replaceWithPipe(t, first.path)
-	p := startFromFile(t, first.path, first.addr)
-	pipe := p.waitForReader(first.path)
+	p, pipe, text := startReading(t)
 	for range 40 {
 		p.cmd.Process.Signal(syscall.SIGHUP)
 		time.Sleep(5 * time.Millisecond) // the system merges signals that are pending together
 	}
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	time.Sleep(20 * time.Millisecond)
-	os.Remove(first.path)
-	if err := os.WriteFile(first.path, text, 0o600); err != nil { // for the reload
+	os.Remove(p.path)
+	if err := os.WriteFile(p.path, text, 0o600); err != nil { // for the reload
 		t.Fatal(err)
 	}
 	pipe.Write(text)
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -105,3 +105,24 @@
 		t.Errorf("%+v", out)
 	}
 }
+
+func TestLeavingFrontAnswersAllRequests(t *testing.T) {
+	r := newHarness(t, nil)
+	playing := onlyEffect[Setup](t, r.request(0))
+	r.step(AttemptStarted{Session: playing.Session})
+	r.request(0)
+	r.request(1)
+	out := r.step(Request{Player: 1, ReadAt: r.now, Copies: 3, Draining: true})
+	onlyEffect[Refused](t, out)
+	out = r.step(CloseAll{})
+	if len(effectsOf[Refused](out)) != 1 || len(effectsOf[Failed](out)) != 1 || len(effectsOf[SessionEnded](out)) != 1 ||
+		len(effectsOf[Stop](out)) != 1 {
+		t.Fatalf("%+v", out)
+	}
+	for _, a := range effectsOf[Abandon](out) {
+		r.step(AttemptEnded{Session: a.Session, Attempt: a.Attempt, Status: policy.Cancelled})
+	}
+	if r.core.SessionCount() != 0 || r.core.OpenRequests() != 0 {
+		t.Fatal(r.core.SessionCount(), r.core.OpenRequests())
+	}
+}
