--- a/internal/front/platform_test.go
+++ b/internal/front/platform_test.go
@@ -9,10 +9,15 @@
 // These tests cover what the operators' platform needs from the core: session IDs chosen by the viewers, viewers
 // identified by their IDs alone, descriptions, and restored sessions whose viewers are still connected.
 
-func newTrustingHarness(t *testing.T) *harness {
+// newTrustingCore returns a core that takes the IDs of sessions and viewers from requests.
+func newTrustingCore() *Core {
 	set := settings()
-	r := &harness{t: t, now: start, core: New(Config{Settings: set, Module: policy.New(set, 1), AnswerMargin: 50 * ms,
-		FailsafeMargin: 20 * ms, MoveTokenTTL: 10 * policy.Second, MaxMoveTokens: 2, TrustViewerIDs: true})}
+	return New(Config{Settings: set, Module: policy.New(set, 1), AnswerMargin: 50 * ms, FailsafeMargin: 20 * ms,
+		MoveTokenTTL: 10 * policy.Second, MaxMoveTokens: 2, TrustViewerIDs: true})
+}
+
+func newTrustingHarness(t *testing.T) *harness {
+	r := &harness{t: t, now: start, core: newTrustingCore()}
 	r.step(Listed{policy.List{Kind: policy.ListFull, Entries: entries(policy.Ready, 1, 2, 3)}})
 	return r
 }
