The soak's audit doesn't judge the order of two attempts that arrive almost together

The audit's own terms say that the order of events within Skew is not judged; checkOnce took it from the times and numbers all the same.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -31,17 +31,19 @@
 	AnswerGrace time.Duration // how long after the deadline an answer may still arrive
 	DrainGrace  time.Duration // how long after a drain notice a set-up may still arrive
 	Skew        time.Duration // events closer than this have no known order
-	ColdSpan    time.Duration // warm-up time of a server
-	ColdFrom    float64       // share of its capacity that a server has at its start
-	FallTimes   float64       // multiple of its capacity that overloads a cold server
-	FallSpan    time.Duration // window that FallTimes applies to
-	Budgeted    bool          // further attempts are limited
-	Spare       float64       // further attempts that are always allowed within BudgetSpan
-	Ratio       float64       // further attempts allowed per request within BudgetSpan
-	BudgetSpan  time.Duration
-	RungWorth   []float64
-	StallCost   float64
-	ChangeCost  float64 // in seconds of play
+	// NumberedOnArrival: the numbers of attempts count arrivals and don't tell the order in which they were sent.
+	NumberedOnArrival bool
+	ColdSpan          time.Duration // warm-up time of a server
+	ColdFrom          float64       // share of its capacity that a server has at its start
+	FallTimes         float64       // multiple of its capacity that overloads a cold server
+	FallSpan          time.Duration // window that FallTimes applies to
+	Budgeted          bool          // further attempts are limited
+	Spare             float64       // further attempts that are always allowed within BudgetSpan
+	Ratio             float64       // further attempts allowed per request within BudgetSpan
+	BudgetSpan        time.Duration
+	RungWorth         []float64
+	StallCost         float64
+	ChangeCost        float64 // in seconds of play
 }
 
 // Event returns the record event that carries the rules.
