--- a/internal/platform/servers/releases_test.go
+++ b/internal/platform/servers/releases_test.go
@@ -180,3 +180,19 @@
 		t.Errorf("last written: %+v, want the release of session 5; connects %+v", m, r.dials)
 	}
 }
+
+// A front ended while the release of a lost set-up waited for a connection. The release must count as pending until it is
+// written.
+func TestPendingReleasesCountUntilWritten(t *testing.T) {
+	r := newRig(t)
+	r.setup(5)
+	conn := r.connect()
+	r.loseConn(conn, r.bytes[conn])
+	if n := r.p.PendingReleases(); n != 1 {
+		t.Errorf("%d pending releases after the connection ended, want 1", n)
+	}
+	r.connect()
+	if n := r.p.PendingReleases(); n != 0 {
+		t.Errorf("%d pending releases after the next connect, want 0", n)
+	}
+}
