The rig's relays no longer take a UDP port that is reserved for a front

Cause: the fronts' ports are reserved for TCP only, and each relay of the rig opens a UDP socket with a port of the system's choice before the fronts start, some 20 a rig, at the fronts' address. These sockets have an address of their own now (127.0.0.2).

--- a/internal/rig/net.go
+++ b/internal/rig/net.go
@@ -247,10 +247,17 @@
 	return n.closed
 }
 
+// dialDatagrams opens a UDP socket to a front. Its own address is not that of the fronts: the system may give it the port
+// that is reserved, for TCP only, for a front that has yet to start.
+func dialDatagrams(target string) (net.Conn, error) {
+	dialer := net.Dialer{LocalAddr: &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	return dialer.Dial("udp", target)
+}
+
 // forwardDatagrams relays datagrams.
 func (r *relay) forwardDatagrams() {
 	defer r.n.group.Done()
-	out, err := net.Dial("udp", r.target)
+	out, err := dialDatagrams(r.target)
 	if err != nil {
 		return
 	}
