Case 10: a session that is handed over and ended in one read goes on at its server

Looked for: shortcuts of the input code that treat a session that stands as a request.

Adds review/10, and its play in the stand-in: a front is handed 40 sessions at its start, and one of their viewers leaves in that moment.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -35,6 +35,7 @@
 	"taken": takenAddress,
 	"end":   endUnsent,
 	"burst": burstOfRequests,
+	"batch": endInBatch,
 }
 
 func main() {
