--- a/review/stand2/journal.go
+++ b/review/stand2/journal.go
@@ -14,16 +14,9 @@
 	listener net.Listener
 
 	mu     sync.Mutex
-	events []string                // event N is events[N-1]
-	conns  map[net.Conn]chan timed // lines to write, by connection
-	next   map[net.Conn]int        // index of the next event to send
-	delay  time.Duration           // each line is written so much later: discovery is slow
-}
-
-// timed is a line that is written at a time.
-type timed struct {
-	at   time.Time
-	line string
+	events []string                 // event N is events[N-1]
+	conns  map[net.Conn]chan string // lines to write, by connection
+	next   map[net.Conn]int         // index of the next event to send
 }
 
 // maxLines is how many lines wait on one connection.
@@ -35,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j := &journal{w: w, listener: ln, conns: map[net.Conn]chan timed{}, next: map[net.Conn]int{}}
+	j := &journal{w: w, listener: ln, conns: map[net.Conn]chan string{}, next: map[net.Conn]int{}}
 	go j.accept()
 	go func() {
 		for range time.Tick(time.Second) {
@@ -63,7 +56,7 @@
 				return
 			}
 			j.w.log("journal: the front asks for the events after %d", from)
-			lines := make(chan timed, maxLines)
+			lines := make(chan string, maxLines)
 			go j.writeLines(c, lines)
 			j.mu.Lock()
 			j.conns[c], j.next[c] = lines, min(from, len(j.events))
@@ -81,11 +74,10 @@
 	}
 }
 
-// writeLines writes the lines of a connection when they are due.
-func (j *journal) writeLines(c net.Conn, lines <-chan timed) {
+// writeLines writes the lines of a connection.
+func (j *journal) writeLines(c net.Conn, lines <-chan string) {
 	for l := range lines {
-		time.Sleep(time.Until(l.at))
-		if _, err := fmt.Fprintln(c, l.line); err == nil && len(l.line) > 8 {
+		if _, err := fmt.Fprintln(c, l); err == nil && len(l) > 8 {
 			j.w.log("journal: event written")
 		}
 	}
@@ -94,7 +86,7 @@
 // write queues a line for a connection; j.mu is held.
 func (j *journal) write(c net.Conn, line string) {
 	select {
-	case j.conns[c] <- timed{time.Now().Add(j.delay), line}:
+	case j.conns[c] <- line:
 	default:
 	}
 }
@@ -106,14 +98,6 @@
 	}
 }
 
-// setDelay makes discovery slow by a delay of each line, or ends that.
-func (j *journal) setDelay(d time.Duration) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.delay = d
-	j.w.log("journal: each line comes %v late", d)
-}
-
 // host is an entry of the list.
 type host struct {
 	Name   string  `json:"host"`
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -31,7 +31,6 @@
 
 // cases holds the cases by name. Each returns an error if it couldn't run; what broke the rule it reports by violation.
 var cases = map[string]func(*world) error{
-	"slow":  slowDiscovery,
 	"taken": takenAddress,
 	"end":   endUnsent,
 	"burst": burstOfRequests,
