--- a/review/stand2/front.go
+++ b/review/stand2/front.go
@@ -66,7 +66,7 @@
 		return err
 	}
 	f.config = map[string]any{"name": "n0", "listen": f.addr, "seed": "8c1f30d27a5be964",
-		"limits":  map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits":  map[string]any{"cores": 1.0, "memory_mb": w.memoryMB, "sockets": 1024},
 		"journal": w.journal.listener.Addr().String(), "known": w.journal.known(),
 		"settings": json.RawMessage(settings)}
 	path := filepath.Join(f.dir, "config.json")
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -15,26 +15,31 @@
 
 // world is what a case plays in.
 type world struct {
-	trouble bool // false: the same without the disruption
-	started time.Time
-	journal *journal
-	servers []*server
-	front   *front
+	trouble  bool // false: the same without the disruption
+	memoryMB int  // the front's limit
+	started  time.Time
+	journal  *journal
+	servers  []*server
+	front    *front
 
 	mu     sync.Mutex
 	record *os.File
 	broken []string
 }
 
-// maxLength is the time that a case may take.
-const maxLength = 115 * time.Second
+// mostMemoryMB is the most memory that a front gets on scored days, and maxLength the time that a case may take.
+const (
+	mostMemoryMB = 192
+	maxLength    = 115 * time.Second
+)
 
 // cases holds the cases by name. Each returns an error if it couldn't run; what broke the rule it reports by violation.
 var cases = map[string]func(*world) error{
-	"taken": takenAddress,
-	"end":   endUnsent,
-	"burst": burstOfRequests,
-	"batch": endInBatch,
+	"taken":  takenAddress,
+	"end":    endUnsent,
+	"burst":  burstOfRequests,
+	"memory": memoryGrows,
+	"batch":  endInBatch,
 }
 
 func main() {
@@ -58,7 +63,7 @@
 		return 2
 	}
 	defer file.Close()
-	w := &world{trouble: trouble, started: time.Now(), record: file}
+	w := &world{trouble: trouble, memoryMB: mostMemoryMB, started: time.Now(), record: file}
 	time.AfterFunc(maxLength, func() { // the front ends with this process
 		fmt.Println("could not run: it takes too long")
 		os.Exit(2)
