--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -9,7 +9,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -64,10 +66,7 @@
 	}
 	defer file.Close()
 	w := &world{trouble: trouble, memoryMB: mostMemoryMB, started: time.Now(), record: file}
-	time.AfterFunc(maxLength, func() { // the front ends with this process
-		fmt.Println("could not run: it takes too long")
-		os.Exit(2)
-	})
+	go w.endEarly()
 	w.log("case %s, trouble %v", name, trouble)
 	err = play(w)
 	if w.front != nil {
@@ -92,6 +91,23 @@
 	return 0
 }
 
+// endEarly ends the front and this process if the case takes too long or is ended from outside.
+func (w *world) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	reason := "it takes too long"
+	select {
+	case s := <-signals:
+		reason = s.String()
+	case <-time.After(maxLength):
+	}
+	fmt.Println("could not run:", reason)
+	if w.front != nil {
+		w.front.stop()
+	}
+	os.Exit(2)
+}
+
 // since is the time since the start of the case.
 func (w *world) since() time.Duration { return time.Since(w.started) }
 
