Log and count requests that a close leaves without an answer, and why

When a front closed a viewer's connection, its usual log said nothing, and a connection closed by its writer was named at no level, so the report's losses could not be traced to a decision. Behaviour is unchanged; go test of viewers, node and transport passes.

--- a/internal/platform/node/accept.go
+++ b/internal/platform/node/accept.go
@@ -142,7 +142,7 @@
 	c.mu.Lock()
 	delete(c.conns, k.id)
 	c.mu.Unlock()
-	c.events.closed(k.id)
+	c.events.closed(k.id, k.writer.CloseCause())
 	c.openConns.Add(-1)
 	select {
 	case c.slotFreed <- struct{}{}:
--- a/internal/platform/node/accept_test.go
+++ b/internal/platform/node/accept_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"tealledge/internal/transport"
 )
 
 // eventRecorder records the events of clients' connections in order.
@@ -28,7 +30,7 @@
 	r.mu.Unlock()
 }
 
-func (r *eventRecorder) closed(uint64) {}
+func (r *eventRecorder) closed(uint64, transport.CloseCause) {}
 
 func (r *eventRecorder) count() (accepted, messages int) {
 	r.mu.Lock()
--- a/internal/platform/node/client.go
+++ b/internal/platform/node/client.go
@@ -65,6 +65,7 @@
 		maxBytes := maxReadBytes
 		if c.crowded() {
 			maxBytes = smallReadBytes
+			c.smallReads.Add(1)
 			k.window.Wait(maxBurstBytes) // until all is processed
 		}
 		n, keep, err := k.read(maxBytes)
@@ -108,13 +109,20 @@
 // Without the pauses, a few such connections keep the only core of a front busy. Go's scheduler then looks at the
 // sockets of all others only now and then, and each answer waits for that several times. A burst is passed on at once:
 // sessions handed over at a start have to be known together, before the core changes the rungs of some of them.
-type turns struct{ mu sync.Mutex }
+type turns struct {
+	mu          sync.Mutex
+	taken       atomic.Uint64
+	longestWait atomic.Int64 // in nanoseconds
+}
 
 // run waits for its turn and calls f.
 func (t *turns) run(f func()) {
+	askedAt := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	startedAt := time.Now()
+	t.taken.Add(1)
+	t.longestWait.Store(max(t.longestWait.Load(), int64(startedAt.Sub(askedAt))))
 	f()
 	time.Sleep(time.Since(startedAt))
 }
--- a/internal/platform/node/client_exit_test.go
+++ b/internal/platform/node/client_exit_test.go
@@ -10,6 +10,7 @@
 	"tealledge/internal/platform/wire"
 	"tealledge/internal/record"
 	"tealledge/internal/standin/platformsim"
+	"tealledge/internal/transport"
 )
 
 // blockOwner blocks the owner goroutine at its next item, as if it were busy, so that further items queue up. release
@@ -184,8 +185,8 @@
 	proceed chan struct{}
 }
 
-func (s blockingReceiver) accepted(uint64) {}
-func (s blockingReceiver) closed(uint64)   {}
+func (s blockingReceiver) accepted(uint64)                     {}
+func (s blockingReceiver) closed(uint64, transport.CloseCause) {}
 func (s blockingReceiver) received(k *client, _ clientInput) {
 	s.arrived <- k
 	<-s.proceed
--- a/internal/platform/node/client_flood_test.go
+++ b/internal/platform/node/client_flood_test.go
@@ -16,6 +16,7 @@
 
 	"tealledge/internal/platform/wire"
 	"tealledge/internal/standin/platformsim"
+	"tealledge/internal/transport"
 )
 
 // unusableLines returns valid lines, each with a request that no front can serve, of at least minBytes in total.
@@ -160,8 +161,8 @@
 	proceed chan struct{}
 }
 
-func (r batchReceiver) accepted(uint64) {}
-func (r batchReceiver) closed(uint64)   {}
+func (r batchReceiver) accepted(uint64)                     {}
+func (r batchReceiver) closed(uint64, transport.CloseCause) {}
 func (r batchReceiver) received(k *client, input clientInput) {
 	k.processed(input)
 	r.batches <- len(input.list)
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -32,13 +32,14 @@
 	slotTimeout      time.Duration // how long a connection past the limit waits for another one to close
 	slotWaits        atomic.Int64  // number of waits for a slot
 	peekBuffer       []byte        // used by the owner goroutine only
+	smallReads       atomic.Uint64 // reads while the input of all viewers was over its limit
 }
 
 // clientEvents receives the events of viewers' connections. Its methods are called from many goroutines.
 type clientEvents interface {
 	accepted(conn uint64)
 	received(k *client, input clientInput)
-	closed(conn uint64)
+	closed(conn uint64, cause transport.CloseCause)
 }
 
 // Limits and durations of writing to viewers.
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -70,12 +70,16 @@
 
 	reloading, reloadAgain bool // a configuration is being read; it must be read once more
 	shutdownTraceLines     int  // lines that trace has logged during the shutdown
+
+	closeLog     zerolog.Logger // of closed connections: bounded lines a second
+	writerCloses uint64         // viewers' connections that their writers closed
 }
 
 // New creates a front from its configuration and listens. Viewers are served once Run is called.
 func New(cfg *Config, path string, log zerolog.Logger) (*Node, error) {
 	n := &Node{cfg: cfg, configPath: path, log: log, startedAt: time.Now(), queue: inbox.New(maxQueue),
 		done: make(chan struct{}), serverByConn: map[uint64]uint32{}}
+	n.closeLog = log.Sample(&zerolog.BurstSampler{Burst: maxCloseLines, Period: time.Second})
 	n.serverIDs = newServerIDs(cfg.Names.Zones, cfg.Names.Kinds)
 	for _, text := range cfg.Invalid {
 		log.Warn().Str("from", "configuration").Msg(text)
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -88,6 +88,10 @@
 		e.from.processed(e.clientInput)
 		n.viewers.Received(now, e.readAt, e.from.id, e.list, e.readErr, e.partialBytes, n.core.IDInUse)
 	case clientClosed:
+		if e.cause != "" {
+			n.writerCloses++
+			n.logClose(e.conn, string(e.cause), n.viewers.CloseUnread(now, e.conn))
+		}
 		n.viewers.Lost(now, e.conn)
 	case serverConnected:
 		n.servers.Connected(now, n.serverByConn[e.conn], e.conn)
@@ -158,6 +162,7 @@
 		viewerEffects, viewerEvents := n.viewers.Take()
 		for _, a := range viewerEffects {
 			if a.Close {
+				n.logClose(a.Conn, string(a.Reason), a.GivenUp)
 				n.trace(a)
 				n.clients.closeAfter(a.Conn, a.Bytes)
 			} else {
--- a/internal/platform/node/snapshot.go
+++ b/internal/platform/node/snapshot.go
@@ -9,6 +9,7 @@
 	"tealledge/internal/platform/servers"
 	"tealledge/internal/platform/viewers"
 	"tealledge/internal/platform/watch"
+	"tealledge/policy"
 )
 
 // Snapshot is the internal state of a front, for logs and tests.
@@ -16,14 +17,18 @@
 // Of the core: Open requests, Held sessions and Ready servers. Of the servers' protocol: Attempts (sessions included),
 // servers (Lines) and connections to them (Links). Of the viewers' protocol: Conns, Sessions, ids of ended sessions
 // (Recent) and ends of sessions that wait for a connection (Owed). Of the node: Hosts in the list, connections with a
-// known server (Owners) and items in the Queue.
+// known server (Owners) and items in the Queue. Of viewers' sockets: connections closed on accept (Shed), closed because
+// their output was not read (Unread), reads in small pieces while too much input waited (SmallReads), and the Turns that
+// readers took, with the longest wait for one.
 type Snapshot struct {
 	front.Stats
 	Open, Held, Ready          int
 	Attempts, Lines, Links     int
 	Conns, Sessions, Recent    int
 	Owed, Hosts, Owners, Queue int
-	Shed                       uint64 // connections closed on accept, past the limit
+	Shed, Unread               uint64
+	SmallReads, Turns          uint64
+	LongestTurnMs              int64
 	Pos                        uint64
 	Viewers                    viewers.Stats
 	Servers                    servers.Stats
@@ -38,7 +43,9 @@
 	s.Conns, s.Sessions, s.Recent, s.Owed = n.viewers.Counts()
 	s.Hosts, s.Owners, s.Pos = n.serverIDs.len(), len(n.serverByConn), n.follower.Pos()
 	s.Queue, _, _ = n.queue.Stats()
-	s.Shed = n.clients.rejected.Load()
+	s.Shed, s.Unread = n.clients.rejected.Load(), n.writerCloses
+	s.SmallReads, s.Turns = n.clients.smallReads.Load(), n.clients.bulkTurns.taken.Load()
+	s.LongestTurnMs = n.clients.bulkTurns.longestWait.Load() / policy.Millisecond
 	s.Viewers, s.Servers, s.Watch = n.viewers.Stats, n.servers.Stats, n.follower.Stats
 	return s
 }
--- a/internal/platform/node/sockets.go
+++ b/internal/platform/node/sockets.go
@@ -22,7 +22,10 @@
 		readAt front.Time
 		clientInput
 	}
-	clientClosed     struct{ conn uint64 }
+	clientClosed struct {
+		conn  uint64
+		cause transport.CloseCause // empty unless its writer closed it
+	}
 	serverConnected  struct{ conn uint64 }
 	serverDialFailed struct {
 		conn    uint64
@@ -50,7 +53,9 @@
 
 func (s eventQueue) accepted(conn uint64) { s.node.queue.Force(clientAccepted{conn}) }
 
-func (s eventQueue) closed(conn uint64) { s.node.queue.Force(clientClosed{conn}) }
+func (s eventQueue) closed(conn uint64, cause transport.CloseCause) {
+	s.node.queue.Force(clientClosed{conn, cause})
+}
 
 func (s eventQueue) received(from *client, input clientInput) {
 	// Lines of one connection must keep their order: a request must not be overtaken by its withdrawal.
--- a/internal/platform/node/trace.go
+++ b/internal/platform/node/trace.go
@@ -15,6 +15,17 @@
 // maxShutdownTraceLines bounds the lines of trace during a shutdown.
 const maxShutdownTraceLines = 2000
 
+// maxCloseLines bounds the lines a second about closed connections.
+const maxCloseLines = 20
+
+// logClose logs that the front closes a viewer's connection by its own decision, if requests are given up by it.
+func (n *Node) logClose(conn uint64, reason string, givenUp int) {
+	if givenUp > 0 {
+		n.closeLog.Warn().Uint64("conn", conn).Str("why", reason).Int("given_up", givenUp).
+			Msg("viewer's connection closed with open requests")
+	}
+}
+
 // traceLine starts a line of trace, or returns nil if trace logs nothing now. It logs at level debug, and during a
 // shutdown at level info: a line costs microseconds, which add up on a small part of a core.
 func (n *Node) traceLine() *zerolog.Event {
@@ -85,7 +96,7 @@
 	case clientAccepted:
 		entry(0, 0).Uint64("conn", e.conn).Msg("viewer connected")
 	case clientClosed:
-		entry(0, 0).Uint64("conn", e.conn).Msg("viewer's connection ended")
+		entry(0, 0).Uint64("conn", e.conn).Str("why", string(e.cause)).Msg("viewer's connection ended")
 	case viewers.Effect:
 		entry(0, 0).Uint64("conn", e.Conn).Str("why", string(e.Reason)).Msg("closing viewer's connection")
 	case servers.Effect:
--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -128,8 +128,9 @@
 	if !c.closed {
 		c.closed = true
 		p.setPartialBytes(c, 0)
-		p.effects = append(p.effects, Effect{Conn: c.id, Bytes: reply, Close: true, Reason: reason})
-		p.abandonRequests(c)
+		p.effects = append(p.effects, Effect{Conn: c.id, Bytes: reply, Close: true, Reason: reason,
+			GivenUp: len(c.openRequests)})
+		p.giveUpRequests(c)
 	}
 }
 
@@ -164,6 +165,26 @@
 	}
 }
 
+// CloseUnread handles a connection that the shell has closed because its output was not read. It returns how many requests
+// were given up by that. Lost must follow.
+func (p *Protocol) CloseUnread(now Time, conn uint64) (givenUp int) {
+	p.now = now
+	c := p.conns[conn]
+	if c == nil {
+		return 0
+	}
+	c.closed = true
+	givenUp = len(c.openRequests)
+	p.giveUpRequests(c)
+	return givenUp
+}
+
+// giveUpRequests abandons the open requests of a connection that this front closes.
+func (p *Protocol) giveUpRequests(c *client) {
+	p.Stats.GivenUp += uint64(len(c.openRequests))
+	p.abandonRequests(c)
+}
+
 // Lost handles the end of a connection: its open requests are abandoned; established sessions are not bound to it.
 func (p *Protocol) Lost(now Time, conn uint64) {
 	p.now = now
@@ -171,6 +192,7 @@
 	if c == nil {
 		return
 	}
+	p.Stats.Departed += uint64(len(c.openRequests))
 	p.setPartialBytes(c, 0)
 	p.abandonRequests(c)
 	delete(p.conns, conn)
--- a/internal/platform/viewers/replies.go
+++ b/internal/platform/viewers/replies.go
@@ -49,6 +49,7 @@
 			return false
 		}
 		delete(c.openRequests, e.Session)
+		p.countLate(s)
 		p.releaseText(s)
 		s.established = true
 		c.established++
@@ -84,9 +85,17 @@
 		return nil
 	}
 	p.forget(sid)
+	p.countLate(s)
 	return p.conns[s.conn]
 }
 
+// countLate counts an answer that comes after its client's time.
+func (p *Protocol) countLate(s *session) {
+	if s.answerBy != 0 && p.now > s.answerBy {
+		p.Stats.Late++
+	}
+}
+
 // refuse sends a refusal, with the time after which the client may retry if that is configured.
 func (p *Protocol) refuse(c *client, sid uint64, after Time) {
 	line := wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseRefused}
--- a/internal/platform/viewers/requests.go
+++ b/internal/platform/viewers/requests.go
@@ -60,7 +60,7 @@
 		p.remember(line.Sid)
 		return
 	}
-	p.sessions[line.Sid] = &session{conn: c.id, openBytes: len(request.Text)}
+	p.sessions[line.Sid] = &session{conn: c.id, openBytes: len(request.Text), answerBy: readAt + request.Timeout}
 	p.openBytes += len(request.Text)
 	c.openRequests[line.Sid] = true
 	request.Player, request.ReadAt, request.ID = c.id, readAt, line.Sid
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -40,10 +40,11 @@
 
 // Effect is an operation that the shell carries out on a connection: write Bytes, then close it if Close is set.
 type Effect struct {
-	Conn   uint64
-	Bytes  []byte
-	Close  bool
-	Reason CloseReason // for the log
+	Conn    uint64
+	Bytes   []byte
+	Close   bool
+	Reason  CloseReason // for the log
+	GivenUp int         // requests that the close leaves without an answer
 }
 
 // CloseReason is the reason for which a connection is closed.
@@ -83,10 +84,14 @@
 // Of connections: Accepted, Evicted at the limit, Silent and Idle closed by these timeouts. Of input: BadLines
 // rejected; BadAsks requests that are invalid or reuse an id; Crowded requests refused at MaxOpenRequests or
 // MaxOpenBytes; TakenBack requests cancelled in the batch that they were read in; Partial connections closed at
-// MaxPartialBytes; Unrestored sessions not restored at MaxSessions.
+// MaxPartialBytes; Unrestored sessions not restored at MaxSessions. Of answers: GivenUp requests whose connection the front
+// closed before their answer, Departed requests whose connection was ended by the client or the network, Late answers after
+// the client's time.
 type Stats struct {
 	Accepted, Evicted, Silent, Idle, BadLines, BadAsks, Crowded, TakenBack, Partial, Unrestored uint64
 
+	GivenUp, Departed, Late uint64
+
 	LastBad string // error of the last invalid line
 }
 
@@ -109,7 +114,8 @@
 type session struct {
 	conn        uint64
 	established bool
-	openBytes   int // length of its description while it waits for its answer
+	openBytes   int  // length of its description while it waits for its answer
+	answerBy    Time // when its client stops waiting; 0: it expects no answer
 }
 
 // pendingEnd is the encoded end of a session, waiting for a connection until it expires.
--- a/internal/transport/writer.go
+++ b/internal/transport/writer.go
@@ -3,8 +3,10 @@
 package transport
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +37,24 @@
 	closeAfterFlush      bool // close the connection once the queue is written
 	closeWriteAfterFlush bool // close the write side once the queue is written
 	closed               bool
+	closeCause           CloseCause
+}
+
+// CloseCause is the reason for which a Writer closed its connection by itself.
+type CloseCause string
+
+// Causes of closes.
+const (
+	ClosedQueueFull    CloseCause = "its output is not read"
+	ClosedOverBudget   CloseCause = "too much output is not read on all connections"
+	ClosedWriteTimeout CloseCause = "a write timed out"
+)
+
+// CloseCause returns the reason for which the writer closed its connection, or an empty text if it did not.
+func (w *Writer) CloseCause() CloseCause {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closeCause
 }
 
 // NewWriter returns a writer that queues at most maxQueuedBytes. A write that the peer does not accept within
@@ -117,7 +137,10 @@
 		w.writeNow() // the goroutine that writes may not have run yet
 	}
 	if !w.hasRoom(len(b)) {
-		w.closed = true
+		w.closed, w.closeCause = true, ClosedOverBudget
+		if len(w.queued)+len(b) > w.maxQueuedBytes {
+			w.closeCause = ClosedQueueFull
+		}
 		w.dropQueue()
 		w.mu.Unlock()
 		w.conn.Close()
@@ -194,6 +217,16 @@
 	w.conn.Close()
 }
 
+// closeAfterError closes the connection after a write that failed.
+func (w *Writer) closeAfterError(err error) {
+	w.mu.Lock()
+	if !w.closed && errors.Is(err, os.ErrDeadlineExceeded) {
+		w.closeCause = ClosedWriteTimeout
+	}
+	w.mu.Unlock()
+	w.Close()
+}
+
 // Idle reports whether all queued bytes have been handed to the kernel or dropped.
 func (w *Writer) Idle() bool {
 	w.mu.Lock()
@@ -238,7 +271,7 @@
 		}
 		w.mu.Unlock()
 		if err != nil {
-			w.Close()
+			w.closeAfterError(err)
 		}
 	}
 }
