--- a/cmd/tealledge/trial_client_test.go
+++ b/cmd/tealledge/trial_client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -45,6 +46,8 @@
 	class      string
 	wait       time.Duration
 	copies     int           // number of servers that hold its title; 0: one
+	textBytes  int           // length of its description; 0: a short one
+	playFor    time.Duration // its client ends the session this long after the answer; 0: it stays
 	pieces     int           // number of parts that it is written in
 	pause      time.Duration // between the parts
 	shared     bool          // it may be sent on a connection with open requests
@@ -98,6 +101,11 @@
 			delete(conn.open, line.Sid)
 			if line.Msg == wire.LineClose {
 				conn.answered[line.Sid] = r
+			} else if r.playFor > 0 {
+				c.waiting.Go(func() {
+					time.Sleep(r.playFor)
+					c.leave(r)
+				})
 			}
 		} else if conn.answered[line.Sid] != nil && line.Msg != wire.LineClosed && line.Msg != wire.LineProbed {
 			c.extra = append(c.extra, fmt.Sprintf("request %s got %q after its answer", wire.Sid(line.Sid), line.Msg))
@@ -172,8 +180,7 @@
 	c.mu.Lock()
 	r.conn, r.sentAt = conn, time.Time{}
 	c.mu.Unlock()
-	text := strings.Replace(platformsim.OpenLine(r.sid, r.class, r.wait, ""), "copies:3",
-		fmt.Sprintf("copies:%d", max(r.copies, 1)), 1)
+	text := r.line()
 	pieces := max(r.pieces, 1)
 	for i := range pieces {
 		if i > 0 {
@@ -199,6 +206,37 @@
 	}
 }
 
+// line returns the request as it is written.
+func (r *trialRequest) line() string {
+	text := strings.Replace(platformsim.OpenLine(r.sid, r.class, r.wait, ""), "copies:3",
+		fmt.Sprintf("copies:%d", max(r.copies, 1)), 1)
+	return strings.Replace(text, "who ", "who "+strings.Repeat("w", max(r.textBytes-len("who "), 0)), 1)
+}
+
+// sendTogether sends requests in one write, on a free connection or a new one.
+func (c *trialClient) sendTogether(list []*trialRequest) error {
+	conn := c.reserve(list[0])
+	if conn == nil {
+		var err error
+		if conn, err = c.connect(); err != nil {
+			return err
+		}
+	}
+	var text strings.Builder
+	c.mu.Lock()
+	for _, r := range list {
+		r.conn, r.sentAt = conn, time.Now()
+		conn.open[r.sid] = r
+		text.WriteString(r.line())
+	}
+	c.requests = append(c.requests, list...)
+	c.mu.Unlock()
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
+	_, err := io.WriteString(conn, text.String())
+	return err
+}
+
 // reserve takes a free open connection for a request, or returns nil.
 func (c *trialClient) reserve(r *trialRequest) *trialConn {
 	c.mu.Lock()
--- a/internal/standin/platformsim/servers.go
+++ b/internal/standin/platformsim/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,7 @@
 	DuplicateReply  bool          // sends a reply with an unknown session id first, and then the reply twice
 	BreakReply      bool          // sets the session up, sends half its reply and resets the connection
 	CloseConn       bool          // closes the connection in place of a reply
+	TextBytes       int           // length of the description in a reply; 0: a short one
 	HugeText        bool          // sends a reply whose text fits in a message, but not in a line to the viewer
 	EndOnFrontClose bool          // ends the sessions of a connection that the front closes, each release in two parts
 }
@@ -331,7 +333,9 @@
 		event.Kind = record.StreamStarted
 		s.world.add(event)
 		s.sessions[sid] = session{c, event}
-		m := (&wire.Message{Type: wire.Ready, Session: sid}).Add(wire.ParamText, "by "+s.Name()+"\r\n")
+		text := "by " + s.Name() + "\r\n"
+		text += strings.Repeat("t", max(faults.TextBytes-len(text), 0))
+		m := (&wire.Message{Type: wire.Ready, Session: sid}).Add(wire.ParamText, text)
 		if faults.BreakReply {
 			b, _ := m.Append(nil)
 			c.Write(b[:len(b)/2])
