Reads of viewers' connections are granted before they are made, least load first

Cause: the limit on unprocessed input was checked when a read began and counted after it.

Change: decide/intake grants a read before it is made, so the backlog is bounded whatever the number of connections. Connections on which a session was established go first, then those of which least has arrived; invalid ones and floods last, one at a time, with pauses.

--- a/internal/platform/node/accept.go
+++ b/internal/platform/node/accept.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"tealledge/decide/intake"
 	"tealledge/internal/platform/wire"
 	"tealledge/internal/transport"
 )
@@ -31,6 +32,7 @@
 		return nil, err
 	}
 	return &clients{events: events, listener: ln.(*net.TCPListener), conns: map[uint64]*client{},
+		gate:      newInputGate(),
 		output:    transport.NewQueueBudget(maxQueuedBytes, fairQueueBytes),
 		slotFreed: make(chan struct{}, 1), slotTimeout: slotWaitTimeout}, nil
 }
@@ -107,8 +109,9 @@
 	transport.SetTCPOptions(raw)
 	k := &client{id: c.lastID.Add(1), conn: conn, raw: raw,
 		writer: transport.NewWriter(conn, maxClientQueueBytes, clientWriteTimeout),
-		window: transport.NewWindow(maxBurstBytes), unprocessedBytes: &c.unprocessedBytes,
+		window: transport.NewWindow(maxBurstBytes), gate: c.gate, dropping: make(chan struct{}),
 		splitter: wire.NewSplitter(wire.MaxMessage)}
+	k.standing.Store(uint32(intake.Unknown))
 	k.writer.ShareBudget(c.output)
 	if !c.add(k) {
 		conn.Close()
--- a/internal/platform/node/client.go
+++ b/internal/platform/node/client.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"tealledge/decide/intake"
 	"tealledge/internal/platform/viewers"
 	"tealledge/internal/platform/wire"
 	"tealledge/internal/transport"
@@ -17,16 +18,18 @@
 
 // client is the connection of one viewer.
 type client struct {
-	id     uint64
-	conn   *net.TCPConn
-	raw    syscall.RawConn
-	writer *transport.Writer
-	window *transport.Window // input that the owner goroutine has not processed yet
-	// unprocessedBytes is the sum of all windows.
-	unprocessedBytes *atomic.Int64
-	closing          atomic.Bool // being closed: further input is read and dropped
-	mu               sync.Mutex  // held while input is read or parsed, maxReadBytes at a time
-	splitter         *wire.Splitter
+	id       uint64
+	conn     *net.TCPConn
+	raw      syscall.RawConn
+	writer   *transport.Writer
+	window   *transport.Window // input that the owner goroutine has not processed yet
+	gate     *inputGate
+	usage    intake.Usage  // guarded by gate
+	standing atomic.Uint32 // an intake.Standing
+	closing  atomic.Bool   // being closed: further input is read and dropped
+	dropping chan struct{} // closed with closing
+	mu       sync.Mutex    // held while input is read or parsed, maxReadBytes at a time
+	splitter *wire.Splitter
 	// unreadable is set once the splitter has failed or a line names no session: further input is dropped.
 	unreadable bool
 	withdrawn  map[uint64]bool // sessions that it withdrew or ended in lines not processed yet
@@ -40,108 +43,115 @@
 	bytes        int   // number of bytes read
 }
 
-// Limits of input. Together with the number of connections they bound the memory that peers can fill, and how long one
-// connection's input keeps the owner goroutine from the others.
+// Limits of input. They bound the memory that peers can fill, and how long one connection's input keeps the owner
+// goroutine from the others.
 const (
-	maxReadBytes   = wire.MaxMessage      // bytes of a viewer read at once
-	smallReadBytes = wire.MaxMessage / 16 // the same while the input of all viewers is over its limit
-	maxBulkBytes   = 8 * wire.MaxMessage  // bytes of a viewer handled together
-	maxBurstBytes  = 2 * maxBulkBytes     // bytes of a viewer unprocessed at a time, or read without taking turns
-	// maxTotalUnprocessedBytes is the limit on unprocessed input of all viewers past which even bursts take turns.
+	maxReadBytes  = wire.MaxMessage     // bytes of a viewer read at once
+	maxBulkBytes  = 8 * wire.MaxMessage // bytes of a viewer handled together
+	maxBurstBytes = 2 * maxBulkBytes    // bytes of a viewer unprocessed at a time, or read without taking turns
+	// maxTotalUnprocessedBytes is the limit on unprocessed input of all viewers. A read that is granted waits for no more
+	// than this to be processed.
 	maxTotalUnprocessedBytes = maxBurstBytes
 	maxUnprocessedBytes      = 2 * wire.MaxMessage // bytes of a server or the journal service unprocessed at a time
 	maxPeekBytes             = 256 << 10           // unread bytes that are searched for the withdrawal of a request
 )
 
+// droppedReadPause is the pause after a read of input that is dropped: a client that goes on sending must not keep the
+// core busy.
+const droppedReadPause = time.Millisecond
+
 // readBuffers holds buffers for reads: a connection without input keeps none.
 var readBuffers = sync.Pool{New: func() any { return new([maxReadBytes]byte) }}
 
-// readAll reads a connection until it ends and passes its input on. While the owner goroutine is behind with this
-// connection, further input stays in the socket.
+// readAll reads a connection until it ends and passes its input on. Input that is not granted yet stays in the socket.
 func (c *clients) readAll(k *client) {
-	burstBytes := 0 // read since the socket was last empty
 	for {
-		k.window.Wait(maxReadBytes)
-		maxBytes := maxReadBytes
-		if c.crowded() {
-			maxBytes = smallReadBytes
-			c.smallReads.Add(1)
-			k.window.Wait(maxBurstBytes) // until all is processed
-		}
-		n, keep, err := k.read(maxBytes)
+		arrived, err := k.waitForInput()
 		if err != nil {
 			return
 		}
-		filled := n == maxBytes
-		if !filled {
-			burstBytes = 0
-		}
-		if n < smallReadBytes || burstBytes < maxBurstBytes && !c.crowded() {
-			burstBytes += c.passOn(k, n, keep, filled)
+		request := c.gate.wait(k, arrived)
+		if request == nil {
+			if err := k.dropArrived(); err != nil {
+				return
+			}
 			continue
 		}
-		c.bulkTurns.run(func() {
-			burstBytes += c.passOn(k, n, keep, filled)
-			k.window.Wait(maxBurstBytes) // until all is processed
-		})
+		if err := c.readGranted(k, request); err != nil {
+			return
+		}
 	}
 }
 
-// crowded reports whether the unprocessed input of all viewers is over its limit. Each viewer may then have one small
-// read unprocessed, and what fills it takes turns: hundreds of floods hold little memory, and a viewer that sends little
-// waits for little.
-func (c *clients) crowded() bool { return c.unprocessedBytes.Load() >= maxTotalUnprocessedBytes }
-
-// passOn parses input that was read, with what has arrived behind it if the read was filled, and passes it on, unless it
-// is to be dropped. It returns the number of bytes.
-func (c *clients) passOn(k *client, bytes int, keep, filled bool) int {
-	if !keep {
-		return bytes
+// readGranted carries out a read that was granted.
+func (c *clients) readGranted(k *client, request *intake.Request) error {
+	if request.Flood() {
+		defer c.gate.floodDone(request)
+	}
+	granted := request.Granted()
+	n, keep, err := k.tryRead(granted)
+	if err != nil || !keep {
+		c.gate.unused(request, granted)
+		if err == syscall.EAGAIN {
+			return nil
+		}
+		return err
+	}
+	c.gate.unused(request, granted-n)
+	input := k.parse(n)
+	if n == maxReadBytes {
+		k.parseArrived(request, &input)
 	}
-	input := k.parseArrived(bytes, filled)
 	c.events.received(k, input)
-	return input.bytes
+	if request.Flood() {
+		k.window.WaitEmpty()
+	}
+	return nil
 }
 
-// turns runs functions one at a time, each followed by a pause as long as it took.
-//
-// Readers of connections that send more than a burst take turns: their input together uses at most half of a core.
-// Without the pauses, a few such connections keep the only core of a front busy. Go's scheduler then looks at the
-// sockets of all others only now and then, and each answer waits for that several times. A burst is passed on at once:
-// sessions handed over at a start have to be known together, before the core changes the rungs of some of them.
-type turns struct {
-	mu          sync.Mutex
-	taken       atomic.Uint64
-	longestWait atomic.Int64 // in nanoseconds
+// waitForInput waits until input has arrived, or the end of the connection, and returns the number of bytes.
+func (k *client) waitForInput() (arrived int, err error) {
+	waitErr := k.raw.Read(func(fd uintptr) bool {
+		arrived, err = transport.UnreadBytes(int(fd))
+		if err != nil || arrived > 0 {
+			return true
+		}
+		closed, unread := transport.Poll(int(fd))
+		if !closed && !unread {
+			return false
+		}
+		arrived, err = transport.UnreadBytes(int(fd)) // it may have arrived since
+		return true
+	})
+	switch {
+	case waitErr != nil:
+		return 0, waitErr
+	case err == nil && arrived == 0:
+		return 0, io.EOF
+	}
+	return arrived, err
 }
 
-// run waits for its turn and calls f.
-func (t *turns) run(f func()) {
-	askedAt := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	startedAt := time.Now()
-	t.taken.Add(1)
-	t.longestWait.Store(max(t.longestWait.Load(), int64(startedAt.Sub(askedAt))))
-	f()
-	time.Sleep(time.Since(startedAt))
+// dropArrived reads input of a connection that is being closed, and drops it.
+func (k *client) dropArrived() error {
+	_, _, err := k.tryRead(maxReadBytes)
+	if err == syscall.EAGAIN {
+		err = nil
+	}
+	time.Sleep(droppedReadPause)
+	return err
 }
 
-// read waits for input and reads it once, up to maxBytes. It returns the number of bytes read, and whether they are kept
-// for parse and not dropped.
-func (k *client) read(maxBytes int) (n int, keep bool, err error) {
-	waitErr := k.raw.Read(func(fd uintptr) bool {
-		n, keep, err = k.tryRead(int(fd), maxBytes)
-		return err != syscall.EAGAIN
-	})
-	if waitErr != nil {
-		return 0, false, waitErr
+// tryRead reads up to maxBytes without waiting. keep is false if the bytes are dropped.
+func (k *client) tryRead(maxBytes int) (n int, keep bool, err error) {
+	if closedErr := k.raw.Control(func(fd uintptr) { n, keep, err = k.readOnce(int(fd), maxBytes) }); closedErr != nil {
+		return 0, false, closedErr
 	}
 	return n, keep, err
 }
 
-// tryRead reads without blocking. The lock makes the read and its count one step for the owner goroutine.
-func (k *client) tryRead(fd, maxBytes int) (n int, keep bool, err error) {
+// readOnce reads without blocking. The lock makes the read and its count one step for the owner goroutine.
+func (k *client) readOnce(fd, maxBytes int) (n int, keep bool, err error) {
 	buffer := readBuffers.Get().(*[maxReadBytes]byte)
 	defer readBuffers.Put(buffer)
 	k.mu.Lock()
@@ -162,7 +172,6 @@
 	}
 	k.splitter.Feed(buffer[:n])
 	k.window.Add(n)
-	k.unprocessedBytes.Add(int64(n))
 	return n, true, nil
 }
 
@@ -199,32 +208,22 @@
 	return input
 }
 
-// parseArrived is parse and, after a read that was filled, also reads and parses what has arrived behind it, up to
-// maxBulkBytes in all: hundreds of requests and their withdrawals are handled together.
-func (k *client) parseArrived(bytes int, filled bool) clientInput {
-	input := k.parse(bytes)
-	for filled && input.readErr == nil && input.bytes+maxReadBytes <= maxBulkBytes {
-		more, ok := k.readArrived()
-		if !ok {
-			break
+// parseArrived reads and parses what has arrived behind a read that was filled, and adds it to the input, as far as it is
+// granted: hundreds of requests and their withdrawals are handled together.
+func (k *client) parseArrived(request *intake.Request, input *clientInput) {
+	for filled := true; filled && input.readErr == nil && k.gate.more(request, maxReadBytes); {
+		n, keep, err := k.tryRead(maxReadBytes)
+		if err != nil || !keep { // the next read reports the end of the connection
+			k.gate.unused(request, maxReadBytes)
+			return
 		}
-		filled = more == maxReadBytes
-		next := k.parse(more)
+		k.gate.unused(request, maxReadBytes-n)
+		filled = n == maxReadBytes
+		next := k.parse(n)
 		input.list = append(input.list, next.list...)
 		input.readErr, input.partialBytes = next.readErr, next.partialBytes
 		input.bytes += next.bytes
 	}
-	return input
-}
-
-// readArrived reads once without waiting. It returns the number of bytes for parse; ok is false if there are none, or
-// if the connection has ended, which the next read reports.
-func (k *client) readArrived() (n int, ok bool) {
-	var err error
-	if k.raw.Control(func(fd uintptr) { n, ok, err = k.tryRead(int(fd), maxReadBytes) }) != nil || err != nil {
-		return 0, false
-	}
-	return n, ok
 }
 
 // processed records that the owner goroutine has handled a result of parse.
@@ -240,7 +239,7 @@
 	}
 	k.mu.Unlock()
 	k.window.Done(input.bytes)
-	k.unprocessedBytes.Add(-int64(input.bytes))
+	k.gate.done(input.bytes)
 }
 
 // dropInput drops the input that was read and lets the reader drop further input. It returns false if it does so already.
@@ -248,6 +247,7 @@
 	if k.closing.Swap(true) {
 		return false
 	}
+	close(k.dropping)
 	k.window.Close()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -14,25 +14,23 @@
 
 // clients holds the connections from viewers.
 type clients struct {
-	events    clientEvents
-	listener  *net.TCPListener
-	readers   sync.WaitGroup
-	bulkTurns turns
-	output    *transport.QueueBudget
+	events   clientEvents
+	listener *net.TCPListener
+	readers  sync.WaitGroup
+	gate     *inputGate
+	output   *transport.QueueBudget
 
-	unprocessedBytes atomic.Int64 // input that the owner goroutine has not processed yet
-	mu               sync.Mutex
-	conns            map[uint64]*client
-	closed           bool // no more connections are added
-	lastID           atomic.Uint64
-	openConns        atomic.Int64 // accepted connections whose descriptor is open
-	maxConns         atomic.Int64 // limit of openConns; 0: no limit
-	rejected         atomic.Uint64
-	slotFreed        chan struct{} // holds an item if a connection has closed since the last receive
-	slotTimeout      time.Duration // how long a connection past the limit waits for another one to close
-	slotWaits        atomic.Int64  // number of waits for a slot
-	peekBuffer       []byte        // used by the owner goroutine only
-	smallReads       atomic.Uint64 // reads while the input of all viewers was over its limit
+	mu          sync.Mutex
+	conns       map[uint64]*client
+	closed      bool // no more connections are added
+	lastID      atomic.Uint64
+	openConns   atomic.Int64 // accepted connections whose descriptor is open
+	maxConns    atomic.Int64 // limit of openConns; 0: no limit
+	rejected    atomic.Uint64
+	slotFreed   chan struct{} // holds an item if a connection has closed since the last receive
+	slotTimeout time.Duration // how long a connection past the limit waits for another one to close
+	slotWaits   atomic.Int64  // number of waits for a slot
+	peekBuffer  []byte        // used by the owner goroutine only
 }
 
 // clientEvents receives the events of viewers' connections. Its methods are called from many goroutines.
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -87,6 +87,7 @@
 		n.clientActiveAt = now
 		e.from.processed(e.clientInput)
 		n.viewers.Received(now, e.readAt, e.from.id, e.list, e.readErr, e.partialBytes, n.core.IDInUse)
+		e.from.standing.Store(uint32(standingOf(n.viewers.History(e.from.id))))
 	case clientClosed:
 		if e.cause != "" {
 			n.writerCloses++
--- a/internal/platform/node/snapshot.go
+++ b/internal/platform/node/snapshot.go
@@ -18,8 +18,8 @@
 // servers (Lines) and connections to them (Links). Of the viewers' protocol: Conns, Sessions, ids of ended sessions
 // (Recent) and ends of sessions that wait for a connection (Owed). Of the node: Hosts in the list, connections with a
 // known server (Owners) and items in the Queue. Of viewers' sockets: connections closed on accept (Shed), closed because
-// their output was not read (Unread), reads in small pieces while too much input waited (SmallReads), and the Turns that
-// readers took, with the longest wait for one.
+// their output was not read (Unread), reads that waited while too much input was unprocessed (ReadWaits), reads of floods
+// (FloodReads), and the longest wait of a read.
 type Snapshot struct {
 	front.Stats
 	Open, Held, Ready          int
@@ -27,8 +27,8 @@
 	Conns, Sessions, Recent    int
 	Owed, Hosts, Owners, Queue int
 	Shed, Unread               uint64
-	SmallReads, Turns          uint64
-	LongestTurnMs              int64
+	ReadWaits, FloodReads      uint64
+	LongestReadWaitMs          int64
 	Pos                        uint64
 	Viewers                    viewers.Stats
 	Servers                    servers.Stats
@@ -44,8 +44,8 @@
 	s.Hosts, s.Owners, s.Pos = n.serverIDs.len(), len(n.serverByConn), n.follower.Pos()
 	s.Queue, _, _ = n.queue.Stats()
 	s.Shed, s.Unread = n.clients.rejected.Load(), n.writerCloses
-	s.SmallReads, s.Turns = n.clients.smallReads.Load(), n.clients.bulkTurns.taken.Load()
-	s.LongestTurnMs = n.clients.bulkTurns.longestWait.Load() / policy.Millisecond
+	s.ReadWaits, s.FloodReads = n.clients.gate.waits.Load(), n.clients.gate.turns.Load()
+	s.LongestReadWaitMs = n.clients.gate.longestWait.Load() / policy.Millisecond
 	s.Viewers, s.Servers, s.Watch = n.viewers.Stats, n.servers.Stats, n.follower.Stats
 	return s
 }
--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -68,9 +68,9 @@
 		return rankSessions
 	case c.hadSession:
 		return rankHadSession
-	case c.sentValidLine:
+	case c.validLines > 0:
 		return rankValidLine
-	case c.sentBadLine:
+	case c.badLines > 0:
 		return rankBad
 	}
 	return rankSilent
@@ -210,12 +210,12 @@
 		}
 		switch {
 		case c.closed:
-		case !c.sentValidLine && now-c.connectedAt >= p.cfg.SilentTimeout && p.noPendingInput(c):
+		case c.validLines == 0 && now-c.connectedAt >= p.cfg.SilentTimeout && p.noPendingInput(c):
 			p.Stats.Silent++
 			p.closeConn(c, nil, CloseSilent)
 		case c.partialSince != 0 && now-c.partialSince >= p.cfg.PartialLineTimeout:
 			p.reject(c, 0, errors.New("a line that does not end"))
-		case c.sentValidLine && len(c.openRequests) == 0 && c.established == 0 &&
+		case c.validLines > 0 && len(c.openRequests) == 0 && c.established == 0 &&
 			now-c.lastReceivedAt >= p.cfg.IdleTimeout && p.noPendingInput(c):
 			p.Stats.Idle++
 			p.closeConn(c, nil, CloseIdle)
--- a/internal/platform/viewers/receive.go
+++ b/internal/platform/viewers/receive.go
@@ -98,7 +98,7 @@
 
 // reject answers invalid input. Without an id the client can't match the answer to a request: the connection is closed.
 func (p *Protocol) reject(c *client, sid uint64, err error) {
-	c.sentBadLine = true
+	c.badLines++
 	p.Stats.BadLines++
 	p.Stats.LastBad = truncated(err)
 	reply := p.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseMalformed,
@@ -136,17 +136,17 @@
 			p.reject(c, line.Sid, errors.New("no such session"))
 			return
 		}
-		c.sentValidLine = true
+		c.validLines++
 		if s != nil {
 			p.forget(line.Sid)
 			p.events = append(p.events, front.Leave{Session: line.Sid})
 		}
 		p.send(c, p.format(&wire.Line{Msg: wire.LineClosed, Sid: line.Sid}))
 	case wire.LineProbe:
-		c.sentValidLine = true
+		c.validLines++
 		p.send(c, p.format(&wire.Line{Msg: wire.LineProbed, Sid: line.Sid, Code: 1}))
 	case wire.LineClosed:
-		c.sentValidLine = true
+		c.validLines++
 	default:
 		p.reject(c, line.Sid, fmt.Errorf("no message of viewers: %.16q", line.Msg))
 	}
--- a/internal/platform/viewers/requests.go
+++ b/internal/platform/viewers/requests.go
@@ -38,7 +38,7 @@
 		p.reject(c, line.Sid, err)
 		return
 	}
-	c.sentValidLine = true
+	c.validLines++
 	if server != "" {
 		p.sessions[line.Sid] = &session{conn: c.id, established: true}
 		c.established++
@@ -112,7 +112,7 @@
 // request. If the session has ended, the reply says so. Treated as a second request with the same id, an established
 // session would be reported as ended.
 func (p *Protocol) restoreAgain(c *client, sid uint64, s *session) {
-	c.sentValidLine = true
+	c.validLines++
 	if s == nil {
 		reply := p.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseReset})
 		if pending, found := p.pendingEnds[sid]; found { // its end was waiting for a connection
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -100,8 +100,8 @@
 	id             uint64
 	connectedAt    Time // when it connected
 	lastReceivedAt Time
-	sentValidLine  bool // at least one valid line was received
-	sentBadLine    bool // at least one invalid line was received
+	validLines     uint64 // valid lines received
+	badLines       uint64 // invalid lines received
 	openRequests   map[uint64]bool
 	established    int
 	hadSession     bool // a session was established here at least once
@@ -195,6 +195,15 @@
 	return s.conn, true
 }
 
+// History returns the numbers of valid and invalid lines received on a connection, and whether a session was established
+// on it.
+func (p *Protocol) History(conn uint64) (valid, invalid uint64, served bool) {
+	if c := p.conns[conn]; c != nil {
+		return c.validLines, c.badLines, c.hadSession
+	}
+	return 0, 0, false
+}
+
 // Counts returns the numbers of connections, sessions, ids of ended sessions and pending ends held.
 func (p *Protocol) Counts() (conns, sessions, recent, pendingEnds int) {
 	return len(p.conns), len(p.sessions), len(p.recent), len(p.pendingEnds)
--- a/internal/transport/poll.go
+++ b/internal/transport/poll.go
@@ -23,6 +23,9 @@
 	}
 }
 
+// UnreadBytes returns the number of bytes that have arrived on a connection and were not read.
+func UnreadBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) }
+
 // Peek copies unread input into b without consuming it and returns the number of bytes.
 func Peek(fd int, b []byte) int {
 	n, _, err := syscall.Recvfrom(fd, b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/internal/transport/window.go
+++ b/internal/transport/window.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// WaitEmpty waits until all bytes are processed or the window is closed.
+func (w *Window) WaitEmpty() { w.Wait(w.maxBytes) }
+
 // Add counts bytes that were read.
 func (w *Window) Add(n int) {
 	w.mu.Lock()
