An incomplete line no longer ends the open requests on its connection

Cause: past the limit on incomplete lines of all clients, the connection with the longest one was closed, whatever was open on it. A line incomplete for 2 s closed its connection as well.

Change: connections with open requests go last; then by the rank used for evictions, stalled ones first, the longest line first. The 2 s count once no request is open.

--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -1,7 +1,6 @@
 package viewers
 
 import (
-	"errors"
 	"maps"
 	"slices"
 
@@ -213,8 +212,11 @@
 		case c.validLines == 0 && now-c.connectedAt >= p.cfg.SilentTimeout && p.noPendingInput(c):
 			p.Stats.Silent++
 			p.closeConn(c, nil, CloseSilent)
-		case c.partialSince != 0 && now-c.partialSince >= p.cfg.PartialLineTimeout:
-			p.reject(c, 0, errors.New("a line that does not end"))
+		case c.partialSince != 0 && now-c.partialSince >= p.cfg.PartialLineTimeout && len(c.openRequests) == 0:
+			// Without a reply: a line that is completed while a reply waits to be read would be lost.
+			p.Stats.BadLines++
+			p.Stats.LastBad = string(CloseEndless)
+			p.closeConn(c, nil, CloseEndless)
 		case c.validLines > 0 && len(c.openRequests) == 0 && c.established == 0 &&
 			now-c.lastReceivedAt >= p.cfg.IdleTimeout && p.noPendingInput(c):
 			p.Stats.Idle++
--- a/internal/platform/viewers/receive.go
+++ b/internal/platform/viewers/receive.go
@@ -6,6 +6,7 @@
 
 	"tealledge/internal/front"
 	"tealledge/internal/platform/wire"
+	"tealledge/policy"
 )
 
 // Input from viewers: every line is validated before any of it is passed on.
@@ -56,24 +57,40 @@
 	c.partialBytes = length
 }
 
-// limitPartialLines closes connections with the longest incomplete lines while those of all connections are too long
-// together. Nothing that was received whole is lost; clients that write small requests slowly are not affected.
+// limitPartialLines closes connections with incomplete lines while those of all connections are too long together.
+// It closes them at once, without a reply: a line that is completed while a reply waits to be read would be lost.
 func (p *Protocol) limitPartialLines() {
 	for p.partialBytes > p.cfg.MaxPartialBytes {
-		var longest *client
+		var victim *client
 		for _, c := range p.conns {
-			if longest == nil || c.partialBytes > longest.partialBytes ||
-				c.partialBytes == longest.partialBytes && c.id < longest.id {
-				longest = c
+			if c.partialBytes > 0 && (victim == nil || p.closesBefore(c, victim)) {
+				victim = c
 			}
 		}
 		p.Stats.Partial++
-		reply := p.format(&wire.Line{Msg: wire.LineClose, Code: wire.CauseMalformed,
-			Attrs: map[string]string{"error": string(CloseLarge)}})
-		p.closeConn(longest, reply, CloseLarge)
+		p.closeConn(victim, nil, CloseLarge)
 	}
 }
 
+// stalledAfter is how long a client that writes a line slowly may pause before it counts as stalled.
+const stalledAfter = 500 * policy.Millisecond
+
+// closesBefore reports whether limitPartialLines closes a connection with an incomplete line before another one: those
+// with open requests last, as these would be lost; then by rank, stalled ones first, and the one with the longer line.
+func (p *Protocol) closesBefore(c, other *client) bool {
+	rank, otherRank := c.rank(0), other.rank(0)
+	stalled, otherStalled := p.now-c.lastReceivedAt >= stalledAfter, p.now-other.lastReceivedAt >= stalledAfter
+	switch {
+	case rank != otherRank:
+		return rank > otherRank
+	case stalled != otherStalled:
+		return stalled
+	case c.partialBytes != other.partialBytes:
+		return c.partialBytes > other.partialBytes
+	}
+	return c.id < other.id
+}
+
 // cancelledRequests finds the requests that are cancelled in the same batch of lines. Otherwise hundreds of them would
 // each be set up at a server and ended again.
 func cancelledRequests(list []Input) map[uint64]bool {
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -26,7 +26,7 @@
 	MaxPartialBytes    int                         // limit on the incomplete lines of all connections; 0: none
 	MaxSessions        int                         // limit on sessions held, past which none is restored; 0: none
 	SilentTimeout      Time                        // a connection without a valid line is closed after this time
-	PartialLineTimeout Time                        // a line incomplete for this long is an error
+	PartialLineTimeout Time                        // a line incomplete for this long is an error, once no request is open
 	IdleTimeout        Time                        // silence after which an unused connection is closed
 	WasSent            func(id uint64) bool        // whether a request of this id was sent to a server; nil: never
 	NoPendingInput     func(conn uint64) bool      // whether all input of a connection was handled; nil: always
@@ -57,6 +57,7 @@
 	CloseIdle    CloseReason = "idle"
 	CloseInvalid CloseReason = "invalid input"
 	CloseLarge   CloseReason = "too much incomplete input"
+	CloseEndless CloseReason = "a line that does not end"
 	CloseLeaving CloseReason = "front leaving"
 )
 
