New connections use a quarter of the unprocessed input; a line that is unread does not time out

Cause: a trace of each read that waited over 300 ms showed that it had been granted within 20 ms, and that its goroutine ran up to 0.7 s later: on one core it stood behind the readers of all other granted reads and the owner's backlog of 256 KiB, some 4,400 lines. And the 2 s for an incomplete line also ran while its rest was unread here.

Change: connections on which no session was established yet have a quarter of the total together, and count as floods after two full reads; the limit on incomplete lines waits for unread input, as the other timeouts do.

New: TestNewConnectionsUsePartOfTheTotal; TestIncompleteLineKeepsConnectionWithOpenRequest covers the second part.

--- a/decide/intake/intake.go
+++ b/decide/intake/intake.go
@@ -26,9 +26,11 @@
 const halfLife = 5 * policy.Second
 
 const (
-	minBurstReads  = 8 // full reads that a connection may use before it counts as a flood, whatever waits
-	usageDivisor   = 8 // weight of a byte that was used recently against one that has arrived
-	shortReadParts = 8 // part of a read that a connection gets that was not served yet, while others wait
+	servedBurstReads = 8 // full reads that a connection may use before it counts as a flood, whatever waits
+	otherBurstReads  = 2 // the same of a connection that was not served yet
+	usageDivisor     = 8 // weight of a byte that was used recently against one that has arrived
+	shortReadParts   = 8 // part of a read that a connection gets that was not served yet, while others wait
+	otherTotalParts  = 4 // part of the total for connections that were not served yet
 )
 
 // Standing is what a connection has sent so far.
@@ -99,7 +101,11 @@
 	r := &Request{usage: usage, standing: standing, load: float64(arrived) + used/usageDivisor, number: s.lastNumber,
 		wanted: min(max(arrived, 1), s.limits.Read)}
 	// The more connections wait, the less each may use before it takes turns with the floods.
-	burst := max(s.limits.Burst/(1+len(s.waiting)), minBurstReads*s.limits.Read)
+	minReads := otherBurstReads
+	if standing == Served {
+		minReads = servedBurstReads
+	}
+	burst := max(s.limits.Burst/(1+len(s.waiting)), minReads*s.limits.Read)
 	r.flood = standing == Invalid || used+float64(r.wanted) > float64(burst)
 	heap.Push(&s.waiting, r)
 	return r
@@ -111,8 +117,8 @@
 // Next grants the next read and returns it, or nil if none can be granted now. retryAt is when a flood that waits may be
 // granted its turn; 0 if only Done or FloodDone can change anything.
 //
-// Floods have one read at a time, each followed by a pause as long as it took, so that they use at most half of a core,
-// and never more than half of the total, so that the others need not wait for them.
+// Connections that were not served yet use a part of the total only, so that the others need not wait for them. Floods have
+// one read at a time, each followed by a pause as long as it took, so that they use at most half of a core.
 func (s *Scheduler) Next(now policy.Time) (r *Request, retryAt policy.Time) {
 	for len(s.waiting) > 0 {
 		r = s.waiting[0]
@@ -121,8 +127,10 @@
 			continue
 		}
 		free := s.limits.Total - s.used
+		if r.standing != Served {
+			free = s.limits.Total/otherTotalParts - s.used
+		}
 		if r.flood {
-			free -= s.limits.Total / 2
 			if s.floodActive {
 				return nil, 0
 			}
--- a/decide/intake/intake_test.go
+++ b/decide/intake/intake_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Guards against a client that was served before and waits until what hundreds of new connections have sent is processed.
+func TestNewConnectionsUsePartOfTheTotal(t *testing.T) {
+	s := New(testLimits)
+	for range 300 {
+		s.Ask(0, &Usage{}, Unknown, testLimits.Read)
+	}
+	grantAll(s, 0)
+	if s.used > testLimits.Total/otherTotalParts {
+		t.Errorf("%d bytes are granted to new connections", s.used)
+	}
+	served := s.Ask(0, &Usage{}, Served, testLimits.Read)
+	if list := grantAll(s, 0); len(list) != 1 || list[0] != served {
+		t.Errorf("want the read of the connection that was served granted at once: %v", list)
+	}
+}
+
 // Guards against a connection that counts as a flood for good.
 func TestFloodEndsAfterSilence(t *testing.T) {
 	usage := &Usage{bytes: float64(testLimits.Burst), at: 0}
--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -212,7 +212,8 @@
 		case c.validLines == 0 && now-c.connectedAt >= p.cfg.SilentTimeout && p.noPendingInput(c):
 			p.Stats.Silent++
 			p.closeConn(c, nil, CloseSilent)
-		case c.partialSince != 0 && now-c.partialSince >= p.cfg.PartialLineTimeout && len(c.openRequests) == 0:
+		case c.partialSince != 0 && now-c.partialSince >= p.cfg.PartialLineTimeout &&
+			len(c.openRequests) == 0 && p.noPendingInput(c):
 			// Without a reply: a line that is completed while a reply waits to be read would be lost.
 			p.Stats.BadLines++
 			p.Stats.LastBad = string(CloseEndless)
--- a/internal/platform/viewers/memory_test.go
+++ b/internal/platform/viewers/memory_test.go
@@ -84,6 +84,13 @@
 		t.Fatal("closed with an open request")
 	}
 	r.do(front.Refused{Session: 7})
+	pending := true
+	r.p.cfg.NoPendingInput = func(uint64) bool { return !pending }
+	r.advance(100 * ms)
+	if r.closed[1] {
+		t.Fatal("closed while the rest of the line may be unread")
+	}
+	pending = false
 	r.advance(100 * ms)
 	if !r.closed[1] {
 		t.Error("still open without a request, with a line that does not end")
