Unread output closes the connection that made no progress for longest

Cause: a connection was closed once 128 KiB of answers waited for it, even while its writer's goroutine was just writing or had not run yet on the single core; and past the budget of all connections, whichever connection was to get more than 4 KiB next was closed, though its own queue was empty, while those that held the memory stayed. The write timeout counted from the start of a write of the whole queue, however fast the peer read.

Change: only the budget of all connections (1/16 of the memory) limits a queue. Past it, what the kernel takes is handed on, and then the connections whose peers accepted nothing for longest are closed until the budget is kept. The timeout is 5 s and counts from the last bytes accepted.

--- a/internal/platform/node/accept.go
+++ b/internal/platform/node/accept.go
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	return &clients{events: events, listener: ln.(*net.TCPListener), conns: map[uint64]*client{},
-		gate:      newInputGate(),
+		gate: newInputGate(), maxQueuedBytes: maxQueuedBytes,
 		output:    transport.NewQueueBudget(maxQueuedBytes, fairQueueBytes),
 		slotFreed: make(chan struct{}, 1), slotTimeout: slotWaitTimeout}, nil
 }
@@ -108,7 +108,7 @@
 	}
 	transport.SetTCPOptions(raw)
 	k := &client{id: c.lastID.Add(1), conn: conn, raw: raw,
-		writer: transport.NewWriter(conn, maxClientQueueBytes, clientWriteTimeout),
+		writer: transport.NewWriter(conn, c.maxQueuedBytes, clientWriteTimeout),
 		window: transport.NewWindow(maxBurstBytes), gate: c.gate, dropping: make(chan struct{}),
 		splitter: wire.NewSplitter(wire.MaxMessage)}
 	k.standing.Store(uint32(intake.Unknown))
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -19,6 +19,8 @@
 	readers  sync.WaitGroup
 	gate     *inputGate
 	output   *transport.QueueBudget
+	// maxQueuedBytes is the limit on unwritten bytes of all connections, and so of one.
+	maxQueuedBytes int
 
 	mu          sync.Mutex
 	conns       map[uint64]*client
@@ -42,9 +44,12 @@
 
 // Limits and durations of writing to viewers.
 const (
-	maxClientQueueBytes = 128 << 10       // unwritten bytes on one connection
-	fairQueueBytes      = 4 << 10         // the same while those of all connections are over their limit
-	clientWriteTimeout  = 2 * time.Second // the connection of a viewer that reads nothing for this long is closed
+	// fairQueueBytes is the number of unwritten bytes for which no connection is closed while those of all are over their
+	// limit.
+	fairQueueBytes = 4 << 10
+	// clientWriteTimeout: the connection of a viewer that reads nothing for this long is closed. By then nobody waits for
+	// the answers in it; the system gives such connections up as well (see transport.DialTCP).
+	clientWriteTimeout = 5 * time.Second
 	// closeDelay is the time from the last bytes to the close: a close at once, with unread input, would discard them.
 	closeDelay = 150 * time.Millisecond
 )
--- a/internal/transport/writer.go
+++ b/internal/transport/writer.go
@@ -38,6 +38,8 @@
 	closeWriteAfterFlush bool // close the write side once the queue is written
 	closed               bool
 	closeCause           CloseCause
+	pending              int       // bytes queued or being written
+	progressAt           time.Time // when the peer last accepted bytes, or when the first of those pending was queued
 }
 
 // CloseCause is the reason for which a Writer closed its connection by itself.
@@ -70,39 +72,38 @@
 	return w
 }
 
-// QueueBudget bounds the bytes that are queued by several writers together. Past it, writers with more than fairBytes
-// close their connections.
-type QueueBudget struct {
-	maxBytes, fairBytes int
-	used                atomic.Int64
-}
-
-// NewQueueBudget returns a budget of maxBytes for all writers.
-func NewQueueBudget(maxBytes, fairBytes int) *QueueBudget {
-	return &QueueBudget{maxBytes: maxBytes, fairBytes: fairBytes}
-}
-
-// Used returns the number of bytes that are queued or being written.
-func (b *QueueBudget) Used() int { return int(b.used.Load()) }
+// ShareBudget makes the writer count its bytes in a budget. It is called before the first Send. The write timeout then
+// counts from the last bytes that the peer accepted.
+func (w *Writer) ShareBudget(budget *QueueBudget) { w.budget = budget }
 
-// add counts bytes as queued, or as not queued any more if n is negative. It does nothing if there is no budget.
-func (b *QueueBudget) add(n int) {
-	if b != nil {
-		b.used.Add(int64(n))
+// addPending counts bytes as queued. It is called with the lock held.
+func (w *Writer) addPending(n int) {
+	if w.pending == 0 {
+		w.progressAt = time.Now()
+		w.budget.register(w)
 	}
+	w.pending += n
+	w.budget.add(n)
 }
 
-// allows reports whether a writer may queue the given number of bytes in all.
-func (b *QueueBudget) allows(queuedBytes int) bool {
-	return b == nil || queuedBytes <= b.fairBytes || b.Used() <= b.maxBytes
+// settle counts bytes as no longer queued, because the peer's system has accepted them or they are dropped. It is called
+// with the lock held.
+func (w *Writer) settle(n int) {
+	n = min(n, w.pending) // those of a closed connection are settled already
+	if n == 0 {
+		return
+	}
+	w.progressAt = time.Now()
+	w.pending -= n
+	w.budget.add(-n)
+	if w.pending == 0 {
+		w.budget.unregister(w)
+	}
 }
 
-// ShareBudget makes the writer count its bytes in a budget. It is called before the first Send.
-func (w *Writer) ShareBudget(budget *QueueBudget) { w.budget = budget }
-
-// dropQueue drops the bytes that are not being written. It is called with the lock held.
+// dropQueue drops the bytes that were not written. It is called with the lock held.
 func (w *Writer) dropQueue() {
-	w.budget.add(-len(w.queued))
+	w.settle(w.pending)
 	w.queued = nil
 }
 
@@ -113,6 +114,7 @@
 	if start {
 		go w.writeQueued()
 	}
+	w.budget.reclaim()
 	return ok
 }
 
@@ -123,6 +125,7 @@
 	if start {
 		w.writeQueued()
 	}
+	w.budget.reclaim()
 	return ok
 }
 
@@ -137,17 +140,14 @@
 		w.writeNow() // the goroutine that writes may not have run yet
 	}
 	if !w.hasRoom(len(b)) {
-		w.closed, w.closeCause = true, ClosedOverBudget
-		if len(w.queued)+len(b) > w.maxQueuedBytes {
-			w.closeCause = ClosedQueueFull
-		}
+		w.closed, w.closeCause = true, ClosedQueueFull
 		w.dropQueue()
 		w.mu.Unlock()
 		w.conn.Close()
 		return false, false
 	}
 	w.queued = append(w.queued, b...)
-	w.budget.add(len(b))
+	w.addPending(len(b))
 	start = !w.writing
 	w.writing = true
 	w.mu.Unlock()
@@ -155,14 +155,11 @@
 }
 
 // hasRoom reports whether n more bytes may be queued. It is called with the lock held.
-func (w *Writer) hasRoom(n int) bool {
-	queued := len(w.queued) + n
-	return queued <= w.maxQueuedBytes && w.budget.allows(queued)
-}
+func (w *Writer) hasRoom(n int) bool { return len(w.queued)+n <= w.maxQueuedBytes }
 
 // writeNow hands as much of the queue to the kernel as it accepts without waiting. It is called with the lock held.
 func (w *Writer) writeNow() {
-	if w.raw == nil || w.inWrite || len(w.queued) == 0 {
+	if w.raw == nil || w.inWrite || w.closed || len(w.queued) == 0 {
 		return
 	}
 	w.submitted.Add(uint64(len(w.queued))) // before the write, as in writeQueued
@@ -173,7 +170,7 @@
 		}
 		return true
 	})
-	w.budget.add(-written)
+	w.settle(written)
 	rest := copy(w.queued, w.queued[written:])
 	w.queued = w.queued[:rest]
 	w.submitted.Add(-uint64(rest))
@@ -217,16 +214,34 @@
 	w.conn.Close()
 }
 
-// closeAfterError closes the connection after a write that failed.
-func (w *Writer) closeAfterError(err error) {
+// queueState hands to the kernel what it accepts at once, and returns the number of bytes that are still queued or being
+// written, and when the peer last accepted any.
+func (w *Writer) queueState() (pending int, progressAt time.Time) {
 	w.mu.Lock()
-	if !w.closed && errors.Is(err, os.ErrDeadlineExceeded) {
-		w.closeCause = ClosedWriteTimeout
+	defer w.mu.Unlock()
+	w.writeNow()
+	return w.pending, w.progressAt
+}
+
+// closeWith closes the connection at once, for a cause.
+func (w *Writer) closeWith(cause CloseCause) {
+	w.mu.Lock()
+	if !w.closed {
+		w.closeCause = cause
 	}
 	w.mu.Unlock()
 	w.Close()
 }
 
+// closeAfterError closes the connection after a write that failed.
+func (w *Writer) closeAfterError(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		w.closeWith(ClosedWriteTimeout)
+		return
+	}
+	w.Close()
+}
+
 // Idle reports whether all queued bytes have been handed to the kernel or dropped.
 func (w *Writer) Idle() bool {
 	w.mu.Lock()
@@ -263,7 +278,6 @@
 		w.submitted.Add(uint64(len(b))) // under the lock: no byte is written before SubmittedBytes counts it
 		w.mu.Unlock()
 		err := w.writeBytes(b)
-		w.budget.add(-len(b))
 		w.mu.Lock()
 		w.inWrite = false
 		if cap(b) <= maxSpareBytes {
@@ -282,7 +296,8 @@
 func (w *Writer) writeBytes(b []byte) error {
 	// netpoll does the same itself. Its Write, unlike its Writer, may race with the close of the connection.
 	if w.raw == nil {
-		_, err := w.conn.Write(b)
+		n, err := w.conn.Write(b)
+		w.accepted(n)
 		return err
 	}
 	var n int
@@ -293,19 +308,47 @@
 	}); closedErr != nil {
 		return closedErr
 	}
-	switch {
-	case err == syscall.EAGAIN || err == syscall.EINTR:
-		n = 0
-	case err != nil:
+	if err == syscall.EAGAIN || err == syscall.EINTR {
+		n, err = 0, nil
+	}
+	if err != nil {
 		return err
-	case n == len(b):
+	}
+	w.accepted(n)
+	return w.writeWaiting(b[n:])
+}
+
+// waitingWriteBytes is how much of its queue a writer with a budget writes at a time to a peer that it waits for.
+const waitingWriteBytes = 16 << 10
+
+// writeWaiting writes bytes to a peer that does not accept them at once.
+func (w *Writer) writeWaiting(b []byte) error {
+	c, _ := w.conn.(net.Conn)
+	if len(b) == 0 {
 		return nil
 	}
-	c := w.conn.(net.Conn)
-	c.SetWriteDeadline(time.Now().Add(w.writeTimeout))
 	defer c.SetWriteDeadline(time.Time{})
-	_, err = c.Write(b[n:])
-	return err
+	for len(b) > 0 {
+		part := b
+		if w.budget != nil {
+			part = b[:min(len(b), waitingWriteBytes)]
+		}
+		c.SetWriteDeadline(time.Now().Add(w.writeTimeout))
+		n, err := c.Write(part)
+		w.accepted(n)
+		if err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// accepted counts bytes that the peer's system has accepted.
+func (w *Writer) accepted(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle(n)
 }
 
 // Stop stops the writer without closing the connection and returns the final SubmittedBytes: no more bytes are handed
