New connections in a crowd take turns by what has arrived

Beside 8 busy processes on 8 cores, 3 of some 60 requests were answered up to 1.3 s late next to 800 connections that send probes and read nothing: each had used less than counts as a flood, so none took turns (FloodReads 3 of 6,291 reads), and the core was never free. While 16 reads wait, a new connection of which more than 4 KiB have arrived is a flood now. TestNewConnectionsInCrowdTakeTurns.

--- a/decide/intake/intake.go
+++ b/decide/intake/intake.go
@@ -26,11 +26,13 @@
 const halfLife = 5 * policy.Second
 
 const (
-	servedBurstReads = 8 // full reads that a connection may use before it counts as a flood, whatever waits
-	otherBurstReads  = 2 // the same of a connection that was not served yet
-	usageDivisor     = 8 // weight of a byte that was used recently against one that has arrived
-	shortReadParts   = 8 // part of a read that a connection gets that was not served yet, while others wait
-	otherTotalParts  = 4 // part of the total for connections that were not served yet
+	servedBurstReads = 8  // full reads that a connection may use before it counts as a flood, whatever waits
+	otherBurstReads  = 2  // the same of a connection that was not served yet
+	usageDivisor     = 8  // weight of a byte that was used recently against one that has arrived
+	shortReadParts   = 8  // part of a read that a connection gets that was not served yet, while others wait
+	otherTotalParts  = 4  // part of the total for connections that were not served yet
+	crowdReads       = 16 // reads that wait from which on new connections count as floods by what has arrived
+	crowdReadParts   = 4  // part of a read that may have arrived of a new connection in a crowd before it counts as a flood
 )
 
 // Standing is what a connection has sent so far.
@@ -106,7 +108,9 @@
 		minReads = servedBurstReads
 	}
 	burst := max(s.limits.Burst/(1+len(s.waiting)), minReads*s.limits.Read)
-	r.flood = standing == Invalid || used+float64(r.wanted) > float64(burst)
+	crowded := len(s.waiting) >= crowdReads
+	r.flood = standing == Invalid || used+float64(r.wanted) > float64(burst) ||
+		standing == Unknown && crowded && arrived > s.limits.Read/crowdReadParts
 	heap.Push(&s.waiting, r)
 	return r
 }
--- a/decide/intake/intake_test.go
+++ b/decide/intake/intake_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// Guards against hundreds of new connections that together keep the core busy, each with less than counts as a flood.
+func TestNewConnectionsInCrowdTakeTurns(t *testing.T) {
+	s := New(testLimits)
+	arrived := testLimits.Read/crowdReadParts + 1
+	alone := s.Ask(0, &Usage{}, Unknown, arrived)
+	for range 300 {
+		s.Ask(0, &Usage{}, Unknown, arrived)
+	}
+	small := s.Ask(0, &Usage{}, Unknown, arrived-1)
+	if crowded := s.Ask(0, &Usage{}, Unknown, arrived); !crowded.Flood() || alone.Flood() || small.Flood() {
+		t.Errorf("floods: in a crowd %v, alone %v, small %v; want only the first", crowded.Flood(), alone.Flood(),
+			small.Flood())
+	}
+}
+
 // Guards against a connection that counts as a flood for good.
 func TestFloodEndsAfterSilence(t *testing.T) {
 	usage := &Usage{bytes: float64(testLimits.Burst), at: 0}
