At the limit on connections, floods are closed before new connections

Cause: connections with unread input are not evicted, as it may be a request. Floods always have some, so after four of them were looked at the newcomer was closed, whose own request was on its way.

Change: eight candidates are looked at, found in one pass. First those without pending input that were silent for 250 ms, then never-served connections with 4 KiB or more of it, the most first, then new silent ones, and the newcomer last. EvictedUnread counts the evictions with pending input.

New: TestEvictsFloodsBeforeNewConnections.

--- a/cmd/tealledge/bad_clients_test.go
+++ b/cmd/tealledge/bad_clients_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -179,8 +180,21 @@
 	b.sendAll(c, func() string { return text })
 }
 
+// sendUntilAnswered sends a request and, as soon as it is turned away, the same or a new one.
+func sendUntilAnswered(b *badClients, c net.Conn, next func() string) {
+	lines := bufio.NewReaderSize(c, wire.MaxMessage)
+	for !b.stopped() {
+		if _, err := io.WriteString(c, next()); err != nil {
+			return
+		}
+		if _, err := lines.ReadSlice('\n'); err != nil {
+			return
+		}
+	}
+}
+
 // badClientKinds are the kinds of bad clients that write slowly or not to the end, that send large lines, that don't read,
-// and that send small requests without a pause.
+// that send small requests without a pause, that connect in vain, and that send what is no request.
 var badClientKinds = []badClientKind{
 	{"write slowly", 800, func(b *badClients) string { return b.largeRequest("") },
 		func(b *badClients, c net.Conn, text string) {
@@ -240,6 +254,25 @@
 		discard(c)
 		b.sendAll(c, func() string { return b.largeRequest(b.unknownServer()) })
 	}},
+	{"bodies without an end", 8, func(*badClients) string { return strings.Repeat("x", 1<<20) }, sendForever},
+	{"noise", 100, func(*badClients) string { return strings.Repeat("\x00\x17noise\n", 50) }, sendForever},
+	{"say nothing", 600, noText, func(b *badClients, c net.Conn, _ string) { io.Copy(io.Discard, c) }},
+	{"half a request and a close", 100, func(b *badClients) string { return b.request("") },
+		func(b *badClients, c net.Conn, text string) {
+			io.WriteString(c, text[:len(text)/2])
+			b.pause(20 * time.Millisecond)
+		}},
+	{"the same again once it is turned away", 100, func(b *badClients) string { return b.unsoundRequest() },
+		func(b *badClients, c net.Conn, text string) {
+			sendUntilAnswered(b, c, func() string { return text })
+		}},
+	{"sound requests again and again", 20, noText, func(b *badClients, c net.Conn, _ string) {
+		sendUntilAnswered(b, c, func() string { return b.request("") })
+	}},
+	{"new connections for each request", 100, noText, func(b *badClients, c net.Conn, _ string) {
+		io.WriteString(c, b.unsoundRequest())
+		bufio.NewReaderSize(c, wire.MaxMessage).ReadSlice('\n')
+	}},
 }
 
 // noText is for kinds whose clients send new ids all the time.
--- a/cmd/tealledge/usual_clients_test.go
+++ b/cmd/tealledge/usual_clients_test.go
@@ -83,26 +83,35 @@
 // limit had open requests, and requests waited behind floods until their time was over.
 func TestLimitsCostUsualClientsNoRequest(t *testing.T) {
 	const (
-		memoryMB = 32 // the least that the platform gives to a front
-		sockets  = 1024
-		duration = 4 * time.Second
+		manySockets = 1024 // the most and the least that the platform gives to a front
+		fewSockets  = 256
 	)
 	none := badClientKind{"no bad clients", 0, noText, nil}
 	for _, kind := range append([]badClientKind{none}, badClientKinds...) {
-		t.Run(kind.name, func(t *testing.T) {
-			servers := newShutdownServers(t, platformsim.NewWorld("only"), 3)
-			for _, s := range servers {
-				s.SetFaults(platformsim.Faults{TextBytes: usualAnswer, ReplyDelay: 60 * time.Millisecond})
-			}
-			front := startFrontWithMemory(t, memoryMB, siteSettings(), serverListEvents(servers, 0), "", sockets)
-			front.waitReady()
-			usual := &usualClients{client: newTrialClient(front.addr)}
-			usual.run(t, 200*time.Millisecond)
-			bad := &badClients{addr: front.addr, stop: make(chan struct{})}
-			bad.start(kind)
-			usual.run(t, duration)
-			bad.end()
-			usual.check(t, front)
-		})
+		t.Run(kind.name, func(t *testing.T) { playUsualClients(t, kind, manySockets) })
+		if kind.clients > fewSockets {
+			t.Run(kind.name+", few descriptors", func(t *testing.T) { playUsualClients(t, kind, fewSockets) })
+		}
+	}
+}
+
+// playUsualClients plays usual clients beside bad ones, against a front with a limit on descriptors.
+func playUsualClients(t *testing.T, kind badClientKind, sockets int) {
+	const (
+		memoryMB = 32 // the least that the platform gives to a front
+		duration = 4 * time.Second
+	)
+	servers := newShutdownServers(t, platformsim.NewWorld("only"), 3)
+	for _, s := range servers {
+		s.SetFaults(platformsim.Faults{TextBytes: usualAnswer, ReplyDelay: 60 * time.Millisecond})
 	}
+	front := startFrontWithMemory(t, memoryMB, siteSettings(), serverListEvents(servers, 0), "", sockets)
+	front.waitReady()
+	usual := &usualClients{client: newTrialClient(front.addr)}
+	usual.run(t, 200*time.Millisecond)
+	bad := &badClients{addr: front.addr, stop: make(chan struct{})}
+	bad.start(kind)
+	usual.run(t, duration)
+	bad.end()
+	usual.check(t, front)
 }
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -74,6 +74,17 @@
 	return k == nil || k.inputDrained()
 }
 
+// pendingBytes returns the number of bytes of a connection that have arrived and are not processed.
+func (c *clients) pendingBytes(conn uint64) int {
+	k := c.get(conn)
+	if k == nil {
+		return 0
+	}
+	unread := 0
+	k.raw.Control(func(fd uintptr) { unread, _ = transport.UnreadBytes(int(fd)) })
+	return k.window.Unprocessed() + unread
+}
+
 // clientWaiting reports whether the client of a request is still connected and has not withdrawn it. It considers all
 // input that has reached this machine: lines that were read but not processed by the owner goroutine, and unread
 // bytes in the socket.
--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -1,10 +1,12 @@
 package viewers
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
 	"tealledge/internal/front"
+	"tealledge/policy"
 )
 
 // Connections of viewers: accepted, and closed when they are unused or too many.
@@ -20,7 +22,7 @@
 const maxEvictionsPerTick = 4
 
 // maxEvictionCandidates bounds how many connections are checked for pending input when one is to be closed.
-const maxEvictionCandidates = 4
+const maxEvictionCandidates = 8
 
 // HasPartialLine reports whether a line is incomplete on any connection.
 func (p *Protocol) HasPartialLine() bool {
@@ -79,41 +81,91 @@
 // newcomer. Otherwise hundreds of clients that connect and send nothing would use up all descriptors. The cost: a viewer
 // that is slow to send its first line is disconnected.
 func (p *Protocol) evict(newcomer uint64) {
-	var victim *client
-	excluded := map[*client]bool{} // connections with pending input
-	for range maxEvictionCandidates {
-		victim = p.leastUseful(newcomer, excluded)
-		if victim == nil || victim.rank(newcomer) <= rankNewcomer || victim.rank(newcomer) == rankBad ||
-			p.noPendingInput(victim) {
-			break
-		}
-		excluded[victim], victim = true, nil
-	}
-	if victim == nil || victim.rank(newcomer) == rankOpenRequest {
-		victim = p.conns[newcomer]
-	}
+	victim := p.evictionVictim(newcomer)
 	if victim == nil {
 		return
 	}
 	p.Stats.Evicted++
+	if !p.noPendingInput(victim) {
+		p.Stats.EvictedUnread++
+	}
 	p.closeConn(victim, nil, CloseEvicted)
 }
 
-// leastUseful returns the open connection that evict should close first, or nil.
-func (p *Protocol) leastUseful(newcomer uint64, excluded map[*client]bool) (least *client) {
-	var highest evictionRank
+// evictionVictim returns the connection that evict closes, or nil if there is none.
+func (p *Protocol) evictionVictim(newcomer uint64) *client {
+	candidates := p.evictionCandidates(newcomer)
+	if c := p.firstWithoutPendingInput(candidates, firstRequestTime); c != nil {
+		return c
+	}
+	if c := p.floodAmong(candidates, minFloodBytes); c != nil {
+		return c
+	}
+	if c := p.firstWithoutPendingInput(candidates, 0); c != nil {
+		return c
+	}
+	if c := p.floodAmong(candidates, 1); c != nil {
+		return c
+	}
+	return p.conns[newcomer]
+}
+
+// evictionCandidates returns the connections that evict should close first, in order, maxEvictionCandidates at most.
+func (p *Protocol) evictionCandidates(newcomer uint64) []*client {
+	list := make([]*client, 0, maxEvictionCandidates+1)
 	for _, c := range p.conns {
-		if c.closed || excluded[c] {
+		if c.closed || c.rank(newcomer) <= rankNewcomer {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(list, c, func(listed, c *client) int { return listed.compareEviction(c, newcomer) })
+		if i < maxEvictionCandidates {
+			list = slices.Insert(list, i, c)
+			list = list[:min(len(list), maxEvictionCandidates)]
+		}
+	}
+	return list
+}
+
+// compareEviction orders connections: a negative result means that this one is closed before another one.
+func (c *client) compareEviction(other *client, newcomer uint64) int {
+	return cmp.Or(cmp.Compare(other.rank(newcomer), c.rank(newcomer)),
+		cmp.Compare(c.lastReceivedAt, other.lastReceivedAt), cmp.Compare(c.id, other.id))
+}
+
+// Limits on connections that evict spares at first: new ones, whose first request may be on its way, and those with less
+// pending input than a flood has.
+const (
+	firstRequestTime = 250 * policy.Millisecond
+	minFloodBytes    = 4 << 10
+)
+
+// firstWithoutPendingInput returns the first of the connections without pending input that have sent nothing for a time, or
+// of those that sent invalid lines only; nil if there is none.
+func (p *Protocol) firstWithoutPendingInput(list []*client, silence Time) *client {
+	for _, c := range list {
+		if c.rank(0) == rankBad || p.now-c.lastReceivedAt >= silence && p.noPendingInput(c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// floodAmong returns the connection with the most pending input, of those that never had a session: a flood has more of it
+// than the newcomer, whose request may be unread too. It returns nil if none has minBytes, or if that is not known.
+func (p *Protocol) floodAmong(list []*client, minBytes int) (flood *client) {
+	if p.cfg.PendingBytes == nil {
+		return nil
+	}
+	most := minBytes - 1
+	for _, c := range list {
+		if c.rank(0) < rankValidLine {
 			continue
 		}
-		rank := c.rank(newcomer)
-		if least == nil || rank > highest ||
-			rank == highest && (c.lastReceivedAt < least.lastReceivedAt ||
-				c.lastReceivedAt == least.lastReceivedAt && c.id < least.id) {
-			least, highest = c, rank
+		if bytes := p.cfg.PendingBytes(c.id); bytes > most {
+			flood, most = c, bytes
 		}
 	}
-	return least
+	return flood
 }
 
 // noPendingInput reports whether a connection may be closed as unused. A request that was read, or lies in the socket,
--- a/internal/platform/viewers/connections_test.go
+++ b/internal/platform/viewers/connections_test.go
@@ -129,6 +129,36 @@
 	}
 }
 
+// Guards against a new connection that is closed at the limit, with its first request unread or on its way, while floods
+// that never had a session stay because their input is pending.
+func TestEvictsFloodsBeforeNewConnections(t *testing.T) {
+	r := newRig(t)
+	pending := map[uint64]int{}
+	r.p.cfg.NoPendingInput = func(conn uint64) bool { return pending[conn] == 0 }
+	r.p.cfg.PendingBytes = func(conn uint64) int { return pending[conn] }
+	r.establish(1, 5)
+	pending[1] = 50 << 10 // its client had a session
+	r.accept(2)
+	pending[2] = minFloodBytes
+	r.accept(3)
+	pending[3] = 8 * minFloodBytes
+	r.accept(4)
+	pending[4] = 300 // one request
+	r.now += firstRequestTime
+	for i, evicted := range []uint64{3, 2, 10, 11} {
+		conn := uint64(10 + i)
+		r.now += ms
+		r.accept(conn) // its request is on its way
+		if !r.closed[evicted] || len(r.closed) != i+1 {
+			t.Fatalf("connection %d accepted: closed %v, want %d", conn, slices.Sorted(maps.Keys(r.closed)), evicted)
+		}
+		r.p.Lost(r.now, evicted)
+	}
+	if r.p.Stats.EvictedUnread != 2 {
+		t.Errorf("%d evicted with unread input, want 2", r.p.Stats.EvictedUnread)
+	}
+}
+
 // Guards against a flood that pushes usual clients out: a connection that sent invalid lines only is closed first, even
 // with pending input, and one that had sessions after those that never had one.
 func TestEvictsConnectionsOfBadClientsFirst(t *testing.T) {
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -30,6 +30,7 @@
 	IdleTimeout        Time                        // silence after which an unused connection is closed
 	WasSent            func(id uint64) bool        // whether a request of this id was sent to a server; nil: never
 	NoPendingInput     func(conn uint64) bool      // whether all input of a connection was handled; nil: always
+	PendingBytes       func(conn uint64) int       // length of input that was not handled; nil: not known
 }
 
 // The ids of ended sessions are kept for recentTTL, so that messages that cross the end are not rejected as invalid.
@@ -82,7 +83,7 @@
 
 // Stats counts events of viewers and their connections.
 //
-// Of connections: Accepted, Evicted at the limit, Silent and Idle closed by these timeouts. Of input: BadLines
+// Of connections: Accepted, Evicted at the limit, EvictedUnread those of them with pending input, Silent and Idle closed by these timeouts. Of input: BadLines
 // rejected; BadAsks requests that are invalid or reuse an id; Crowded requests refused at MaxOpenRequests or
 // MaxOpenBytes; TakenBack requests cancelled in the batch that they were read in; Partial connections closed at
 // MaxPartialBytes; Unrestored sessions not restored at MaxSessions. Of answers: GivenUp requests whose connection the front
@@ -91,6 +92,8 @@
 type Stats struct {
 	Accepted, Evicted, Silent, Idle, BadLines, BadAsks, Crowded, TakenBack, Partial, Unrestored uint64
 
+	EvictedUnread uint64
+
 	GivenUp, Departed, Late uint64
 
 	LastBad string // error of the last invalid line
