Sessions past the limit end where most were handed over

Cause: the limit of 128 sessions for each MB counts all clients together, and whoever handed over next was turned away.

New: TestSessionsPastLimitEndWhereMostWereHandedOver.

--- a/cmd/tealledge/usual_clients_test.go
+++ b/cmd/tealledge/usual_clients_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -115,3 +116,46 @@
 	bad.end()
 	usual.check(t, front)
 }
+
+// Guards against sessions that are handed over and reported as over, though they play, because a bad client handed over so
+// many that the limit on sessions was reached.
+func TestHandedOverSessionsStandBesideFloodOfOthers(t *testing.T) {
+	const sessions = 100
+	world := platformsim.NewWorld("only")
+	servers := newShutdownServers(t, world, 3)
+	front := startFrontWithMemory(t, 32, siteSettings(), serverListEvents(servers, 0), "", 1024)
+	front.waitReady()
+	bad := &badClients{addr: front.addr, stop: make(chan struct{})}
+	bad.start(badClientKind{"sessions that a server doesn't know", 1, noText, func(b *badClients, c net.Conn, _ string) {
+		discard(c)
+		b.sendAll(c, func() string { return times(200, func() string { return b.request(";at:s-00000000") }) })
+	}})
+	time.Sleep(1500 * time.Millisecond) // thousands of sessions
+	viewer, err := platformsim.Dial(world, front.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer viewer.Close()
+	for sid := uint64(1); sid <= sessions; sid++ {
+		viewer.Write(platformsim.OpenLine(sid, "only", usualWait, ";at:"+servers[1].Name()))
+	}
+	over := 0
+	for end := time.After(2500 * time.Millisecond); over < sessions; {
+		select {
+		case <-viewer.Lines:
+			over++
+			continue
+		case <-end:
+		}
+		break
+	}
+	bad.end()
+	if over > 0 {
+		t.Errorf("%d of %d sessions were reported as over", over, sessions)
+	}
+	front.cmd.Process.Signal(os.Interrupt)
+	<-front.ended
+	if t.Failed() {
+		t.Log(front.log.String())
+	}
+}
--- a/internal/platform/viewers/memory_test.go
+++ b/internal/platform/viewers/memory_test.go
@@ -122,6 +122,37 @@
 
 // Guards against sessions handed over without end, which were all held. Past the limit their client is told that they
 // are over.
+// Guards against sessions of a client that are reported as over because another one handed over thousands.
+func TestSessionsPastLimitEndWhereMostWereHandedOver(t *testing.T) {
+	r := newRig(t)
+	r.p.cfg.MaxSessions = 10
+	attrs := strings.Replace(validAttrs, "again:1", "at:s-7", 1)
+	for sid := uint64(100); sid < 110; sid++ {
+		r.clientSends(1, openLine(sid, attrs))
+	}
+	r.accept(2)
+	r.events = nil
+	for sid := uint64(5); sid < 10; sid++ {
+		r.clientSends(2, openLine(sid, attrs))
+	}
+	left := 0
+	for _, e := range r.events {
+		if _, ok := e.(front.Leave); ok {
+			left++
+		}
+	}
+	if len(r.written[2]) > 0 || len(r.written[1]) != left || left < 5 || len(r.p.sessions) > 10 {
+		t.Errorf("told on 2: %v; %d ends on 1, %d left; %d sessions, want none, the same and at least 5, 10 at most",
+			r.written[2], len(r.written[1]), left, len(r.p.sessions))
+	}
+	for sid := uint64(20); sid < 30; sid++ {
+		r.clientSends(2, openLine(sid, attrs)) // no more than on 1
+	}
+	if len(r.p.sessions) > 10 || len(r.written[2]) == 0 {
+		t.Errorf("%d sessions, and none of 2 was reported as over", len(r.p.sessions))
+	}
+}
+
 func TestRestoresNoSessionPastLimit(t *testing.T) {
 	r := newRig(t)
 	r.p.cfg.MaxSessions = 2
--- a/internal/platform/viewers/requests.go
+++ b/internal/platform/viewers/requests.go
@@ -42,7 +42,8 @@
 	if server != "" {
 		p.sessions[line.Sid] = &session{conn: c.id, established: true}
 		c.established++
-		if len(p.sessions) > p.cfg.MaxSessions {
+		p.restored.add(c.id, line.Sid)
+		if !p.makeRoomForSession(c.id) {
 			p.Stats.Unrestored++
 			p.sendEnd(line.Sid, wire.Line{Msg: wire.LineClose, Sid: line.Sid, Code: wire.CauseReset})
 			return
@@ -125,6 +126,8 @@
 	if old := p.conns[s.conn]; old != nil {
 		old.established--
 	}
+	p.restored.remove(s.conn, sid)
+	p.restored.add(c.id, sid)
 	s.conn = c.id
 	c.established++
 }
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -24,7 +24,7 @@
 	MaxOpenRequests    int                         // limit on unanswered requests on one connection
 	MaxOpenBytes       int                         // limit on the descriptions of all unanswered requests; 0: none
 	MaxPartialBytes    int                         // limit on the incomplete lines of all connections; 0: none
-	MaxSessions        int                         // limit on sessions held, past which none is restored; 0: none
+	MaxSessions        int                         // limit on sessions held, past which some are not restored; 0: none
 	SilentTimeout      Time                        // a connection without a valid line is closed after this time
 	PartialLineTimeout Time                        // a line incomplete for this long is an error, once no request is open
 	IdleTimeout        Time                        // silence after which an unused connection is closed
@@ -71,6 +71,7 @@
 	sessions        map[uint64]*session
 	pendingEnds     map[uint64]pendingEnd // ends of sessions that no connection could carry yet
 	pendingRestores map[uint64]pendingRestore
+	restored        restoredSessions
 	recent          map[uint64]Time
 	recentOrder     []uint64 // keys of recent, oldest first
 	maxConns        int      // limit on connections
@@ -86,7 +87,7 @@
 // Of connections: Accepted, Evicted at the limit, EvictedUnread those of them with pending input, Silent and Idle closed by these timeouts. Of input: BadLines
 // rejected; BadAsks requests that are invalid or reuse an id; Crowded requests refused at MaxOpenRequests or
 // MaxOpenBytes; TakenBack requests cancelled in the batch that they were read in; Partial connections closed at
-// MaxPartialBytes; Unrestored sessions not restored at MaxSessions. Of answers: GivenUp requests whose connection the front
+// MaxPartialBytes; Unrestored sessions not restored or ended at MaxSessions. Of answers: GivenUp requests whose connection the front
 // closed before their answer, Departed requests whose connection was ended by the client or the network, Late answers after
 // the client's time.
 type Stats struct {
@@ -140,7 +141,8 @@
 	}
 	p := &Protocol{cfg: cfg, classes: map[string]int{}, conns: map[uint64]*client{}, sessions: map[uint64]*session{},
 		pendingEnds: map[uint64]pendingEnd{}, pendingRestores: map[uint64]pendingRestore{},
-		recent: map[uint64]Time{}, maxConns: math.MaxInt}
+		restored: restoredSessions{},
+		recent:   map[uint64]Time{}, maxConns: math.MaxInt}
 	for i, name := range cfg.Classes {
 		p.classes[name] = i
 	}
@@ -162,6 +164,7 @@
 	}
 	delete(p.sessions, sid)
 	delete(p.pendingRestores, sid)
+	p.restored.remove(s.conn, sid)
 	p.releaseText(s)
 	if c := p.conns[s.conn]; c != nil {
 		delete(c.openRequests, sid)
