Requests that are taken back do not displace the ids of those that ended

Cause: the ids of ended requests are kept for 5 s, up to 8,192 of all clients, so that a message that crosses the end is not taken for an invalid one. A request that is cancelled in the same read was remembered there too, and a flood of them pushes the others out in a third of a second.

Change: such requests are not remembered; their cancel is answered by what was found in the batch. TestGivenUpRequestGetsNoSecondAnswerBesideFlood failed before.

--- a/internal/platform/viewers/receive.go
+++ b/internal/platform/viewers/receive.go
@@ -139,8 +139,7 @@
 	switch line.Msg {
 	case wire.LineOpen:
 		if cancelled[line.Sid] {
-			p.Stats.TakenBack++
-			p.remember(line.Sid)
+			p.Stats.TakenBack++ // its id is not remembered: floods of them would displace the others
 			return
 		}
 		p.handleOpen(c, readAt, line, inUse)
@@ -149,7 +148,7 @@
 		_, recently := p.recent[line.Sid]
 		// An established session may be ended on any connection; a request may be cancelled only on its own.
 		// Otherwise one client could cancel the request of another that still waits for its answer.
-		if s == nil && !recently || s != nil && !s.established && s.conn != c.id {
+		if s == nil && !recently && !cancelled[line.Sid] || s != nil && !s.established && s.conn != c.id {
 			p.reject(c, line.Sid, errors.New("no such session"))
 			return
 		}
--- a/internal/platform/viewers/viewers_test.go
+++ b/internal/platform/viewers/viewers_test.go
@@ -100,6 +100,25 @@
 	r.events = nil
 }
 
+// Guards against a second answer to a request that its client gives up while the refusal is on its way: its id had been
+// displaced by the requests that another client takes back at once.
+func TestGivenUpRequestGetsNoSecondAnswerBesideFlood(t *testing.T) {
+	r := newRig(t)
+	r.clientSends(1, openLine(5, validAttrs))
+	r.do(front.Refused{Session: 5})
+	r.accept(2)
+	for sid := uint64(100); sid < 100+maxRecent; sid++ {
+		r.clientSends(2, openLine(sid, validAttrs), closeLine(sid))
+		if l := r.lastLine(2); l.Msg != wire.LineClosed || l.Sid != sid {
+			t.Fatalf("a request that was taken back got %+v", l)
+		}
+	}
+	r.clientSends(1, closeLine(5))
+	if l := r.lastLine(1); l.Msg != wire.LineClosed {
+		t.Errorf("a second answer: %+v", l)
+	}
+}
+
 // lastLine returns the last line written on a connection.
 func (r *rig) lastLine(conn uint64) wire.Line {
 	if list := r.written[conn]; len(list) > 0 {
