Dense soak: attempts whose order is not known are not judged, killed stand-ins accept nothing

The fronts' logs show each time that the set-up had been sent and abandoned before the next one was sent; the stand-in server read both 100 to 280 ms late, as its process ran thousands of bad clients' writes. On failure the records are printed with the fronts' log lines of the session.

--- a/cmd/tealledge/shutdown_soak_test.go
+++ b/cmd/tealledge/shutdown_soak_test.go
@@ -74,8 +74,9 @@
 	lastServer uint32
 	// disturbed: the journal service falls silent and breaks its connections, so that a drain may be told late.
 	disturbed bool
-	floods    float64 // share of the shutdowns during which bad clients flood the front
-	dense     bool    // see TestDenseSoak
+	floods    float64  // share of the shutdowns during which bad clients flood the front
+	dense     bool     // see TestDenseSoak
+	logs      []string // of the fronts that have ended
 	others    sync.WaitGroup
 }
 
@@ -147,6 +148,9 @@
 	if x.disturbed {
 		rules.DrainGrace += lateNotice
 	}
+	if x.dense {
+		rules.Skew = denseSkew
+	}
 	for _, c := range x.classes {
 		rules.Classes = append(rules.Classes, audit.Class{Name: c.name, Paid: c.paid, Deadline: c.deadline})
 	}
@@ -295,6 +299,7 @@
 		x.step(killAt)
 	}
 	killed := x.front.kill()
+	x.logs = append(x.logs, x.front.log.String())
 	x.client.waiting.Wait()
 	for _, text := range x.client.lost(termAt, killed) {
 		x.t.Error(text)
@@ -336,4 +341,11 @@
 			x.t.Logf("%d %+v", e.At, e)
 		}
 	}
+	for _, log := range x.logs {
+		for line := range strings.Lines(log) {
+			if strings.Contains(line, of.Session) {
+				x.t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
 }
--- a/internal/standin/platformsim/servers.go
+++ b/internal/standin/platformsim/servers.go
@@ -96,6 +96,12 @@
 				return
 			}
 			s.mu.Lock()
+			if s.listener != ln { // killed meanwhile
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				s.mu.Unlock()
+				return
+			}
 			s.conns[c] = true
 			s.sendPendingEnds(c)
 			s.mu.Unlock()
@@ -131,7 +137,10 @@
 func (s *Server) Kill() {
 	s.mu.Lock()
 	s.world.add(record.Event{Source: s.Name(), Kind: record.ServerDied, Server: s.ID})
-	s.listener.Close()
+	if s.listener != nil {
+		s.listener.Close()
+		s.listener = nil
+	}
 	for c := range s.conns {
 		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
