A session that is handed over and ended in one read ends at its server

Cause: requests that are cancelled in the read that they came with are dropped before they start; a session that is handed over was taken for such a request, though it plays already.

--- a/internal/platform/viewers/receive.go
+++ b/internal/platform/viewers/receive.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"tealledge/internal/front"
 	"tealledge/internal/platform/wire"
@@ -92,13 +93,13 @@
 }
 
 // cancelledRequests finds the requests that are cancelled in the same batch of lines. Otherwise hundreds of them would
-// each be set up at a server and ended again.
+// each be set up at a server and ended again. A session that is handed over plays already, and is ended at its server.
 func cancelledRequests(list []Input) map[uint64]bool {
 	var requested, cancelled map[uint64]bool
 	for _, in := range list {
 		switch {
 		case in.Err != nil || in.Line.Sid == 0:
-		case in.Line.Msg == wire.LineOpen:
+		case in.Line.Msg == wire.LineOpen && !handsOver(in.Line):
 			if requested == nil {
 				requested = map[uint64]bool{}
 			}
@@ -113,6 +114,12 @@
 	return cancelled
 }
 
+// handsOver reports whether a request hands over a session that plays already.
+func handsOver(line wire.Line) bool {
+	extras := line.Attrs["extras"]
+	return strings.HasPrefix(extras, "at:") || strings.Contains(extras, ";at:")
+}
+
 // reject answers invalid input. Without an id the client can't match the answer to a request: the connection is closed.
 func (p *Protocol) reject(c *client, sid uint64, err error) {
 	c.badLines++
--- a/internal/platform/viewers/restore_test.go
+++ b/internal/platform/viewers/restore_test.go
@@ -15,6 +15,21 @@
 	return openLine(sid, strings.Replace(validAttrs, "again:1", "at:"+server, 1))
 }
 
+// Guards against a session that is handed over and ended in one read, and goes on playing at its server.
+func TestEndsHandedOverSessionThatIsEndedInOneRead(t *testing.T) {
+	r := newRig(t)
+	attrs := strings.Replace(validAttrs, "again:1", "at:s-7", 1)
+	r.clientSends(1, openLine(5, attrs), closeLine(5))
+	if len(r.events) != 2 {
+		t.Fatalf("%+v, want the session restored and ended", r.events)
+	}
+	_, restored := r.events[0].(front.Restore)
+	_, left := r.events[1].(front.Leave)
+	if !restored || !left {
+		t.Errorf("%+v, want the session restored and ended", r.events)
+	}
+}
+
 // A request to restore a session at a server that is never listed is refused, not at once but after restoreTimeout, and
 // starts nothing.
 func TestRestoreAtUnknownServerTimesOut(t *testing.T) {
