Requests with much unread input behind them are refused while others wait

Cause: since reads are granted least load first, a connection with 1.4 MB of requests is read slowly beside 200 floods. Its client has closed it, but the end stays at the peer's system behind what does not fit the receive window, and neither poll nor peek can see it.

Change: while other reads wait, a request is refused if 32 KiB or more of its connection are unread. It was never started, so a retry is harmless.

--- a/cmd/tealledge/departed_clients_test.go
+++ b/cmd/tealledge/departed_clients_test.go
@@ -112,6 +112,7 @@
 					sent++
 					if took := at[0].Sub(end); took > attemptAfterLeave {
 						t.Errorf("session %s was set up %v after its client had left", sid, took)
+						front.logLines(sid, end)
 					}
 				}
 			}
@@ -139,3 +140,13 @@
 	conn.Close()
 	return sids
 }
+
+// logLines logs the lines of the front's log that name a session, with the time since the end of its client.
+func (p *process) logLines(sid string, end time.Time) {
+	p.t.Logf("its client left at %d", end.UnixMicro())
+	for line := range strings.Lines(p.log.String()) {
+		if strings.Contains(line, sid) {
+			p.t.Log(strings.TrimSpace(line))
+		}
+	}
+}
--- a/decide/intake/intake.go
+++ b/decide/intake/intake.go
@@ -35,7 +35,7 @@
 	crowdReadParts   = 4  // part of a read that may have arrived of a new connection in a crowd before it counts as a flood
 )
 
-// Standing is what a connection has sent so far.
+// Standing is what is known of a connection from its history.
 type Standing uint8
 
 // Standings. Connections of a lower one go first.
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -74,6 +74,16 @@
 	return k == nil || k.inputDrained()
 }
 
+// backlogBytes is the length of unread input past which the peer's system may hold back the rest, and the end of the
+// connection behind it.
+const backlogBytes = 32 << 10
+
+// backlogged reports whether a connection has so much unread input that its end may not have arrived here, while it is
+// read slowly because others wait.
+func (c *clients) backlogged(conn uint64) bool {
+	return c.gate.contended() && c.pendingBytes(conn) >= backlogBytes
+}
+
 // pendingBytes returns the number of bytes of a connection that have arrived and are not processed.
 func (c *clients) pendingBytes(conn uint64) int {
 	k := c.get(conn)
--- a/internal/platform/node/input_gate.go
+++ b/internal/platform/node/input_gate.go
@@ -63,6 +63,13 @@
 	return request
 }
 
+// contended reports whether a read waits.
+func (g *inputGate) contended() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiting) > 0
+}
+
 // grant grants what can be granted. It is called with the lock held.
 func (g *inputGate) grant() {
 	for {
--- a/internal/platform/viewers/connections_test.go
+++ b/internal/platform/viewers/connections_test.go
@@ -26,6 +26,18 @@
 	}
 }
 
+// Guards against set-ups for a client that has left: its end is behind much input that is read slowly.
+func TestRefusesRequestsOfBackloggedConnection(t *testing.T) {
+	r := newRig(t)
+	r.accept(2)
+	r.p.cfg.Backlogged = func(conn uint64) bool { return conn == 1 }
+	r.clientSends(1, openLine(5, validAttrs))
+	r.clientSends(2, openLine(6, validAttrs))
+	if l := r.lastLine(1); len(r.events) != 1 || l.Sid != 5 || l.Code != wire.CauseRefused {
+		t.Errorf("%d requests started, want one; reply %+v", len(r.events), l)
+	}
+}
+
 func TestEvictionOrder(t *testing.T) {
 	r := newRig(t)
 	r.clientSends(1, openLine(5, validAttrs)) // an open request
--- a/internal/platform/viewers/requests.go
+++ b/internal/platform/viewers/requests.go
@@ -53,9 +53,9 @@
 		p.tryRestore(line.Sid)
 		return
 	}
-	if len(c.openRequests) >= p.cfg.MaxOpenRequests || p.textsExceedLimit(len(request.Text)) {
-		// Otherwise one connection could use up the whole capacity of the front, or a few its memory. The request was
-		// never started: a retry is harmless.
+	if len(c.openRequests) >= p.cfg.MaxOpenRequests || p.textsExceedLimit(len(request.Text)) || p.backlogged(c) {
+		// Otherwise one connection could use up the whole capacity of the front, or a few its memory, or a client that has
+		// left long ago would have set-ups sent. The request was never started: a retry is harmless.
 		p.Stats.Crowded++
 		p.refuse(c, line.Sid, p.cfg.Settings.MaxRetryAfter)
 		p.remember(line.Sid)
@@ -71,6 +71,11 @@
 // wasSent reports whether a request of this id was sent to a server before.
 func (p *Protocol) wasSent(sid uint64) bool { return p.cfg.WasSent != nil && p.cfg.WasSent(sid) }
 
+// backlogged reports whether the end of a connection may be behind much unread input.
+func (p *Protocol) backlogged(c *client) bool {
+	return p.cfg.Backlogged != nil && p.cfg.Backlogged(c.id)
+}
+
 // smallText is the length up to which a description may exceed MaxOpenBytes, up to twice that limit: large ones must not
 // displace all others.
 const smallText = 1 << 10
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -31,6 +31,7 @@
 	WasSent            func(id uint64) bool        // whether a request of this id was sent to a server; nil: never
 	NoPendingInput     func(conn uint64) bool      // whether all input of a connection was handled; nil: always
 	PendingBytes       func(conn uint64) int       // length of input that was not handled; nil: not known
+	Backlogged         func(conn uint64) bool      // whether a connection's end may be behind much unread input; nil: never
 }
 
 // The ids of ended sessions are kept for recentTTL, so that messages that cross the end are not rejected as invalid.
@@ -86,7 +87,7 @@
 //
 // Of connections: Accepted, Evicted at the limit, EvictedUnread those of them with pending input, Silent and Idle closed by these timeouts. Of input: BadLines
 // rejected; BadAsks requests that are invalid or reuse an id; Crowded requests refused at MaxOpenRequests or
-// MaxOpenBytes; TakenBack requests cancelled in the batch that they were read in; Partial connections closed at
+// MaxOpenBytes, or Backlogged; TakenBack requests cancelled in the batch that they were read in; Partial connections closed at
 // MaxPartialBytes; Unrestored sessions not restored or ended at MaxSessions. Of answers: GivenUp requests whose connection the front
 // closed before their answer, Departed requests whose connection was ended by the client or the network, Late answers after
 // the client's time.
