No bulk read while others wait, and none for floods; bounded pauses between floods

Cause: a read may be followed by 128 KiB that arrived behind it. A flood that asked while nobody waited held 144 KiB, more than the quarter of the total that new connections may use, so they waited until all of it was processed; and the pause after a turn was as long as the turn, however long the process had got no core.

Change: bulk is granted only while nobody waits, and never to a flood; the pause is 20 ms at most. TestBulkIsGrantedOnlyWhileNobodyWaits and TestPauseAfterFloodIsBounded failed before.

--- a/decide/intake/intake.go
+++ b/decide/intake/intake.go
@@ -25,6 +25,9 @@
 // halfLife is the time in which the recent use of a connection halves.
 const halfLife = 5 * policy.Second
 
+// maxFloodPause bounds the pause after a turn: one that took longer waited for a core, and not for its own work.
+const maxFloodPause = 20 * policy.Millisecond
+
 const (
 	servedBurstReads = 8  // full reads that a connection may use before it counts as a flood, whatever waits
 	otherBurstReads  = 2  // the same of a connection that was not served yet
@@ -122,7 +125,8 @@
 // granted its turn; 0 if only Done or FloodDone can change anything.
 //
 // Connections that were not served yet use a part of the total only, so that the others need not wait for them. Floods have
-// one read at a time, each followed by a pause as long as it took, so that they use at most half of a core.
+// one read at a time, each followed by a pause as long as it took, maxFloodPause at most, so that they use about half of a
+// core.
 func (s *Scheduler) Next(now policy.Time) (r *Request, retryAt policy.Time) {
 	for len(s.waiting) > 0 {
 		r = s.waiting[0]
@@ -159,9 +163,10 @@
 }
 
 // More grants further bytes to a read that was granted, for input behind it that is to be handled together with it. It
-// returns false if they would leave less than half of the total to the others, or if it is one of a flood and others wait.
+// returns false if they would leave less than half of the total to the others, if others wait, or to a flood: new
+// connections would wait until all of it is processed.
 func (s *Scheduler) More(now policy.Time, r *Request, bytes int) bool {
-	if r.flood && len(s.waiting) > 0 {
+	if r.flood || len(s.waiting) > 0 {
 		return false
 	}
 	if s.used+bytes > s.limits.Total/2+r.granted || r.granted+bytes > s.limits.Read+s.limits.Bulk {
@@ -185,7 +190,7 @@
 // FloodDone records that the read of a flood is processed.
 func (s *Scheduler) FloodDone(now policy.Time, r *Request) {
 	s.floodActive = false
-	s.floodResumeAt = now + (now - r.grantedAt)
+	s.floodResumeAt = now + min(now-r.grantedAt, maxFloodPause)
 }
 
 // queue orders waiting reads: floods last, then by standing, by load and by age.
--- a/decide/intake/intake_test.go
+++ b/decide/intake/intake_test.go
@@ -98,6 +98,44 @@
 	}
 }
 
+// Guards against a new connection whose read waits for what a flood, or another new connection, sent in bulk.
+func TestBulkIsGrantedOnlyWhileNobodyWaits(t *testing.T) {
+	s := New(testLimits)
+	flood := s.Ask(0, &Usage{}, Invalid, testLimits.Read)
+	grantAll(s, 0)
+	if s.More(0, flood, testLimits.Read) {
+		t.Error("a flood is granted more than one read")
+	}
+	s.Done(flood.Granted())
+	s.FloodDone(0, flood)
+	first := s.Ask(0, &Usage{}, Unknown, testLimits.Read)
+	grantAll(s, 0)
+	if !s.More(0, first, testLimits.Read) {
+		t.Error("no bulk is granted to the only connection that sends")
+	}
+	for range 10 {
+		s.Ask(0, &Usage{}, Unknown, testLimits.Read)
+	}
+	grantAll(s, 0)
+	if s.More(0, first, testLimits.Read) {
+		t.Error("bulk is granted while others wait")
+	}
+}
+
+// Guards against reads that wait long because one turn took long, as the process got no core.
+func TestPauseAfterFloodIsBounded(t *testing.T) {
+	s := New(testLimits)
+	first := s.Ask(0, &Usage{}, Invalid, testLimits.Read)
+	s.Ask(0, &Usage{}, Invalid, testLimits.Read)
+	grantAll(s, 0)
+	s.Done(first.Granted())
+	const took = 400 * policy.Millisecond
+	s.FloodDone(took, first)
+	if r, retryAt := s.Next(took); r != nil || retryAt != took+maxFloodPause {
+		t.Errorf("granted %v, retry %d ns after the turn, want %d", r, retryAt-took, maxFloodPause)
+	}
+}
+
 // Guards against a connection that counts as a flood for good.
 func TestFloodEndsAfterSilence(t *testing.T) {
 	usage := &Usage{bytes: float64(testLimits.Burst), at: 0}
