The forced close of a shutdown spares connections with unprocessed input

Change: until the plan's end, 100 ms before the kill, connections with unprocessed input or an incomplete line stay open, so that a request is read and refused. TestForcedCloseWaitsForUnprocessedInput failed before.

--- a/decide/shutdown/shutdown.go
+++ b/decide/shutdown/shutdown.go
@@ -32,7 +32,7 @@
 const (
 	answerMargin = 300 * policy.Millisecond // every request is answered by then
 	closeMargin  = 250 * policy.Millisecond // no connection is accepted any more, and quiet ones are closed
-	forceMargin  = 150 * policy.Millisecond // all other connections are closed
+	forceMargin  = 150 * policy.Millisecond // all others are closed, except for those with unprocessed input
 	endMargin    = 100 * policy.Millisecond // the process ends
 )
 
@@ -44,8 +44,8 @@
 type Plan struct {
 	AnswerBy     policy.Time // every request is answered by then
 	CloseAt      policy.Time // connections are closed from then on, as nothing is pending on them
-	ForceCloseAt policy.Time // all connections are closed
-	EndBy        policy.Time // the process ends
+	ForceCloseAt policy.Time // all connections are closed, except for those with unprocessed input
+	EndBy        policy.Time // these are closed as well, and the process ends
 }
 
 // NewPlan returns the plan of a front that may be killed from earliestKill on.
--- a/internal/platform/node/shutdown.go
+++ b/internal/platform/node/shutdown.go
@@ -58,9 +58,12 @@
 	if !n.closing {
 		return false
 	}
-	if now >= n.shutdownPlan.ForceCloseAt {
+	switch {
+	case now >= n.shutdownPlan.EndBy:
 		n.viewers.CloseUnanswering(now)
-	} else {
+	case now >= n.shutdownPlan.ForceCloseAt: // what is unread can still be read and refused
+		n.viewers.CloseQuiet(now, 0)
+	default:
 		n.viewers.CloseQuiet(now, connQuietTime)
 	}
 	n.processEffects()
--- a/internal/platform/node/shutdown_test.go
+++ b/internal/platform/node/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -11,6 +12,7 @@
 	"tealledge/internal/platform/viewers"
 	"tealledge/internal/platform/wire"
 	"tealledge/internal/standin/platformsim"
+	"tealledge/internal/transport"
 	"tealledge/policy"
 )
 
@@ -89,3 +91,29 @@
 		t.Errorf("%d requests open, or the front does not end without any", n.core.OpenRequests())
 	}
 }
+
+// Guards against a request that is lost at the forced close of a shutdown because it was not read in time: there is time
+// left to read and refuse it.
+func TestForcedCloseWaitsForUnprocessedInput(t *testing.T) {
+	n := newListedNode(t, 3)
+	defer n.clients.close(context.Background())
+	conn, peer := net.Pipe()
+	defer peer.Close()
+	k := &client{id: 1, window: transport.NewWindow(1), dropping: make(chan struct{}),
+		splitter: wire.NewSplitter(wire.MaxMessage), writer: transport.NewWriter(conn, 1, time.Second)}
+	k.window.Add(1)
+	n.clients.conns[k.id] = k
+	now := n.now()
+	n.viewers.Accepted(now, k.id)
+	n.beginShutdown(now)
+	plan := n.shutdownPlan
+	n.advanceShutdown(plan.CloseAt)
+	n.advanceShutdown(plan.ForceCloseAt)
+	if k.closing.Load() {
+		t.Error("closed with input that was not processed, before the end of the plan")
+	}
+	n.advanceShutdown(plan.EndBy)
+	if !k.closing.Load() {
+		t.Error("still open at the end of the plan")
+	}
+}
