--- a/cmd/tealledge/trial_client_test.go
+++ b/cmd/tealledge/trial_client_test.go
@@ -248,7 +248,7 @@
 	defer c.mu.Unlock()
 	full := c.maxConns > 0 && len(c.conns)+c.opening >= c.maxConns
 	for conn := range c.conns {
-		if full || !r.resent && (len(conn.open) == 0 || r.shared) {
+		if !r.resent && (full || len(conn.open) == 0 || r.shared) { // sent again: always on a new one
 			conn.open[r.sid] = r
 			return conn
 		}
