The end of a session reaches its client on the connection that replaced a lost one

Cause: viewers.sendEnd and Tick sent the end of a session whose connection was gone on any connection with an established session, or kept it 8 s for one. Nothing tied a session to its client's next connection.

Interfaces of tests: accepted has the host.

--- a/internal/platform/node/accept.go
+++ b/internal/platform/node/accept.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -117,7 +118,7 @@
 		conn.Close()
 		return
 	}
-	c.events.accepted(k.id) // before its closed event
+	c.events.accepted(k.id, hostOf(conn)) // before its closed event
 	go func() {
 		defer c.readers.Done()
 		c.readAll(k)
@@ -125,6 +126,14 @@
 	}()
 }
 
+// hostOf returns the address of the client's host.
+func hostOf(conn *net.TCPConn) netip.Addr {
+	if addr, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		return addr.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
 // add adds a connection, whose reader is about to start. It returns false if all connections are being closed.
 func (c *clients) add(k *client) bool {
 	c.mu.Lock()
--- a/internal/platform/node/client.go
+++ b/internal/platform/node/client.go
@@ -263,6 +263,12 @@
 	return closed, unread
 }
 
+// unsentBytes returns the number of bytes in the kernel that have not arrived at the client's machine; 0 if not known.
+func (k *client) unsentBytes() (n int) {
+	k.raw.Control(func(fd uintptr) { n = transport.UnackedBytes(int(fd)) })
+	return n
+}
+
 // inputDrained reports whether all input has been read and processed.
 func (k *client) inputDrained() bool {
 	k.mu.Lock()
--- a/internal/platform/node/clients.go
+++ b/internal/platform/node/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -37,7 +38,7 @@
 
 // clientEvents receives the events of viewers' connections. Its methods are called from many goroutines.
 type clientEvents interface {
-	accepted(conn uint64)
+	accepted(conn uint64, host netip.Addr)
 	received(k *client, input clientInput)
 	closed(conn uint64, cause transport.CloseCause)
 }
@@ -74,6 +75,13 @@
 	return k == nil || k.inputDrained()
 }
 
+// outputArrived reports whether all output of a connection has been written and has arrived at the client's machine, as far
+// as is known.
+func (c *clients) outputArrived(conn uint64) bool {
+	k := c.get(conn)
+	return k == nil || k.writer.Idle() && k.unsentBytes() == 0
+}
+
 // backlogBytes is the length of unread input past which the peer's system may hold back the rest, and the end of the
 // connection behind it.
 const backlogBytes = 32 << 10
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -99,7 +99,8 @@
 		PartialLineTimeout: partialLineTimeout, IdleTimeout: idleTimeout,
 		NoPendingInput: func(conn uint64) bool { return n.clients.inputDrained(conn) },
 		PendingBytes:   func(conn uint64) int { return n.clients.pendingBytes(conn) },
-		Backlogged:     func(conn uint64) bool { return n.clients.backlogged(conn) }})
+		Backlogged:     func(conn uint64) bool { return n.clients.backlogged(conn) },
+		OutputArrived:  func(conn uint64) bool { return n.clients.outputArrived(conn) }})
 	n.follower = watch.New(cfg.Journal, cfg.JournalPos, rand.Float64)
 	n.serverConns, n.journalConns = transport.NewConns(maxServerQueueBytes, serverWriteTimeout),
 		transport.NewConns(maxServerQueueBytes, serverWriteTimeout)
--- a/internal/platform/node/owner.go
+++ b/internal/platform/node/owner.go
@@ -82,7 +82,7 @@
 	switch e := item.(type) {
 	case clientAccepted:
 		n.clientActiveAt = now
-		n.viewers.Accepted(now, e.conn)
+		n.viewers.Accepted(now, e.conn, e.host)
 	case clientReceived:
 		n.clientActiveAt = now
 		e.from.processed(e.clientInput)
--- a/internal/platform/node/sockets.go
+++ b/internal/platform/node/sockets.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -16,7 +17,10 @@
 
 // Queue items: events of the sockets and calls of other goroutines for the owner goroutine.
 type (
-	clientAccepted struct{ conn uint64 }
+	clientAccepted struct {
+		conn uint64
+		host netip.Addr
+	}
 	clientReceived struct {
 		from   *client
 		readAt front.Time
@@ -51,7 +55,9 @@
 // eventQueue puts the events of viewers' connections into the queue of the owner goroutine.
 type eventQueue struct{ node *Node }
 
-func (s eventQueue) accepted(conn uint64) { s.node.queue.Force(clientAccepted{conn}) }
+func (s eventQueue) accepted(conn uint64, host netip.Addr) {
+	s.node.queue.Force(clientAccepted{conn, host})
+}
 
 func (s eventQueue) closed(conn uint64, cause transport.CloseCause) {
 	s.node.queue.Force(clientClosed{conn, cause})
--- a/internal/platform/viewers/connections.go
+++ b/internal/platform/viewers/connections.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 
 	"tealledge/internal/front"
@@ -34,11 +35,13 @@
 	return false
 }
 
-// Accepted handles a new connection. Past the limit, the least useful connection is closed.
-func (p *Protocol) Accepted(now Time, conn uint64) {
+// Accepted handles a new connection from the address host. Past the limit, the least useful connection is closed.
+func (p *Protocol) Accepted(now Time, conn uint64, host netip.Addr) {
 	p.now = now
 	p.Stats.Accepted++
-	p.conns[conn] = &client{id: conn, connectedAt: now, lastReceivedAt: now, openRequests: map[uint64]bool{}}
+	c := &client{id: conn, connectedAt: now, lastReceivedAt: now, openRequests: map[uint64]bool{}}
+	p.conns[conn] = c
+	p.join(c, host)
 	if len(p.conns) > p.maxConns {
 		p.evict(conn)
 	}
@@ -51,7 +54,7 @@
 const (
 	rankOpenRequest evictionRank = iota
 	rankNewcomer
-	rankSessions   // it has established sessions
+	rankSessions   // its client has established sessions
 	rankHadSession // it had one
 	rankValidLine  // it sent a valid line
 	rankSilent     // it sent nothing
@@ -65,7 +68,7 @@
 		return rankOpenRequest
 	case c.id == newcomer:
 		return rankNewcomer
-	case c.established > 0:
+	case c.servesSessions():
 		return rankSessions
 	case c.hadSession:
 		return rankHadSession
@@ -181,6 +184,7 @@
 		p.setPartialBytes(c, 0)
 		p.effects = append(p.effects, Effect{Conn: c.id, Bytes: reply, Close: true, Reason: reason,
 			GivenUp: len(c.openRequests)})
+		p.connEnded(c)
 		p.giveUpRequests(c)
 	}
 }
@@ -225,6 +229,7 @@
 		return 0
 	}
 	c.closed = true
+	p.connEnded(c)
 	givenUp = len(c.openRequests)
 	p.giveUpRequests(c)
 	return givenUp
@@ -247,12 +252,13 @@
 	p.setPartialBytes(c, 0)
 	p.abandonRequests(c)
 	delete(p.conns, conn)
+	p.connEnded(c)
 }
 
 // Tick advances the clock; it is called several times a second.
 func (p *Protocol) Tick(now Time) {
 	p.now = now
-	var carrier *client
+	p.confirmEnds()
 	open := 0
 	for _, id := range slices.Sorted(maps.Keys(p.conns)) {
 		c := p.conns[id]
@@ -270,25 +276,16 @@
 			p.Stats.BadLines++
 			p.Stats.LastBad = string(CloseEndless)
 			p.closeConn(c, nil, CloseEndless)
-		case c.validLines > 0 && len(c.openRequests) == 0 && c.established == 0 &&
+		case c.validLines > 0 && len(c.openRequests) == 0 && !c.servesSessions() &&
 			now-c.lastReceivedAt >= p.cfg.IdleTimeout && p.noPendingInput(c):
 			p.Stats.Idle++
 			p.closeConn(c, nil, CloseIdle)
-		case c.established > 0 && carrier == nil:
-			carrier = c
 		}
 	}
 	for _, sid := range slices.Sorted(maps.Keys(p.pendingRestores)) {
 		p.tryRestore(sid)
 	}
-	for _, sid := range slices.Sorted(maps.Keys(p.pendingEnds)) {
-		if carrier != nil {
-			p.send(carrier, p.pendingEnds[sid].bytes)
-		}
-		if carrier != nil || now >= p.pendingEnds[sid].expiresAt {
-			delete(p.pendingEnds, sid)
-		}
-	}
+	p.deliverPendingEnds()
 	for len(p.recentOrder) > 0 && p.recent[p.recentOrder[0]] <= now {
 		delete(p.recent, p.recentOrder[0])
 		p.recentOrder = p.recentOrder[1:]
--- a/internal/platform/viewers/receive.go
+++ b/internal/platform/viewers/receive.go
@@ -159,17 +159,18 @@
 			p.reject(c, line.Sid, errors.New("no such session"))
 			return
 		}
-		c.validLines++
+		p.handleValidLine(c)
 		if s != nil {
 			p.forget(line.Sid)
 			p.events = append(p.events, front.Leave{Session: line.Sid})
 		}
 		p.send(c, p.format(&wire.Line{Msg: wire.LineClosed, Sid: line.Sid}))
 	case wire.LineProbe:
-		c.validLines++
+		p.handleValidLine(c)
 		p.send(c, p.format(&wire.Line{Msg: wire.LineProbed, Sid: line.Sid, Code: 1}))
 	case wire.LineClosed:
-		c.validLines++
+		p.handleValidLine(c)
+		p.confirmEnd(c, line.Sid)
 	default:
 		p.reject(c, line.Sid, fmt.Errorf("no message of viewers: %.16q", line.Msg))
 	}
--- a/internal/platform/viewers/replies.go
+++ b/internal/platform/viewers/replies.go
@@ -10,9 +10,6 @@
 
 // Messages to viewers: answers to requests, and the ends of sessions.
 
-// pendingEndTTL is how long the end of a session waits for a connection on which it can be sent.
-const pendingEndTTL = 8 * policy.Second
-
 // format encodes a line; it returns nil for one that can't be encoded.
 func (p *Protocol) format(line *wire.Line) []byte {
 	b, err := line.Append(nil)
@@ -51,8 +48,7 @@
 		delete(c.openRequests, e.Session)
 		p.countLate(s)
 		p.releaseText(s)
-		s.established = true
-		c.established++
+		p.establish(s, c)
 		c.hadSession = true
 		p.send(c, b)
 	case front.Refused:
@@ -104,32 +100,3 @@
 	}
 	p.send(c, p.format(&line))
 }
-
-// sendEnd sends the end of an established session to its viewer: on the connection of its request, else on another one
-// with established sessions, else on the next connection that gets one.
-func (p *Protocol) sendEnd(sid uint64, line wire.Line) {
-	s := p.sessions[sid]
-	if s == nil {
-		return
-	}
-	p.forget(sid)
-	b := p.format(&line)
-	c := p.conns[s.conn]
-	if c == nil || c.closed {
-		c = nil
-		for _, other := range p.conns {
-			if !other.closed && other.established > 0 &&
-				(c == nil || other.lastReceivedAt > c.lastReceivedAt ||
-					other.lastReceivedAt == c.lastReceivedAt && other.id < c.id) {
-				c = other
-			}
-		}
-	}
-	if c == nil {
-		if len(p.pendingEnds) < maxRecent {
-			p.pendingEnds[sid] = pendingEnd{b, p.now + pendingEndTTL}
-		}
-		return
-	}
-	p.send(c, b)
-}
--- a/internal/platform/viewers/requests.go
+++ b/internal/platform/viewers/requests.go
@@ -38,10 +38,11 @@
 		p.reject(c, line.Sid, err)
 		return
 	}
-	c.validLines++
+	p.handleValidLine(c)
 	if server != "" {
-		p.sessions[line.Sid] = &session{conn: c.id, established: true}
-		c.established++
+		s = &session{conn: c.id}
+		p.sessions[line.Sid] = s
+		p.establish(s, c)
 		p.restored.add(c.id, line.Sid)
 		if !p.makeRoomForSession(c.id) {
 			p.Stats.Unrestored++
@@ -118,12 +119,12 @@
 // request. If the session has ended, the reply says so. Treated as a second request with the same id, an established
 // session would be reported as ended.
 func (p *Protocol) restoreAgain(c *client, sid uint64, s *session) {
-	c.validLines++
+	p.handleValidLine(c)
 	if s == nil {
 		reply := p.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseReset})
 		if pending, found := p.pendingEnds[sid]; found { // its end was waiting for a connection
 			reply = pending.bytes
-			delete(p.pendingEnds, sid)
+			p.removePendingEnd(sid)
 		}
 		p.send(c, reply)
 		return
@@ -133,8 +134,9 @@
 	}
 	p.restored.remove(s.conn, sid)
 	p.restored.add(c.id, sid)
+	p.removeStanding(s.group)
 	s.conn = c.id
-	c.established++
+	p.establish(s, c)
 }
 
 // Limits on the numbers in a request; larger ones are invalid on this platform.
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"net/netip"
 
 	"tealledge/internal/front"
 	"tealledge/policy"
@@ -32,6 +33,7 @@
 	NoPendingInput     func(conn uint64) bool      // whether all input of a connection was handled; nil: always
 	PendingBytes       func(conn uint64) int       // length of input that was not handled; nil: not known
 	Backlogged         func(conn uint64) bool      // whether a connection's end may be behind much unread input; nil: never
+	OutputArrived      func(conn uint64) bool      // whether all output has arrived at the client's machine; nil: always
 }
 
 // The ids of ended sessions are kept for recentTTL, so that messages that cross the end are not rejected as invalid.
@@ -70,7 +72,10 @@
 	classes         map[string]int
 	conns           map[uint64]*client
 	sessions        map[uint64]*session
-	pendingEnds     map[uint64]pendingEnd // ends of sessions that no connection could carry yet
+	lost            map[netip.Addr]*group  // by host, the group that lacks connections
+	pendingEnds     map[uint64]*pendingEnd // ends of sessions whose client has no connection, as far as is known
+	unconfirmed     map[uint64]*client     // connections with ends that may not have been read
+	unconfirmedEnds int                    // their number
 	pendingRestores map[uint64]pendingRestore
 	restored        restoredSessions
 	recent          map[uint64]Time
@@ -90,7 +95,8 @@
 // MaxOpenBytes, or Backlogged; TakenBack requests cancelled in the batch that they were read in; Partial connections closed at
 // MaxPartialBytes; Unrestored sessions not restored or ended at MaxSessions. Of answers: GivenUp requests whose connection the front
 // closed before their answer, Departed requests whose connection was ended by the client or the network, Late answers after
-// the client's time.
+// the client's time. Of ends of sessions: EndsRepeated sent again because their connection was lost or they did not arrive,
+// EndsDropped whose client had no connection before they expired.
 type Stats struct {
 	Accepted, Evicted, Silent, Idle, BadLines, BadAsks, Crowded, TakenBack, Partial, Unrestored uint64
 
@@ -98,20 +104,25 @@
 
 	GivenUp, Departed, Late uint64
 
+	EndsRepeated, EndsDropped uint64
+
 	LastBad string // error of the last invalid line
 }
 
 // client is a connection of a viewer.
 type client struct {
 	id             uint64
+	group          *group
+	replaces       bool // it was accepted while its group lacked a connection
 	connectedAt    Time // when it connected
 	lastReceivedAt Time
 	validLines     uint64 // valid lines received
 	badLines       uint64 // invalid lines received
 	openRequests   map[uint64]bool
 	established    int
-	hadSession     bool // a session was established here at least once
-	partialBytes   int  // length of its incomplete line
+	hadSession     bool      // a session was established here at least once
+	unconfirmed    []sentEnd // ends of sessions that its client may not have read, oldest first
+	partialBytes   int       // length of its incomplete line
 	partialSince   Time
 	closed         bool
 }
@@ -119,17 +130,12 @@
 // session is a request or, once established, a session.
 type session struct {
 	conn        uint64
+	group       *group // of its client; set once it is established
 	established bool
 	openBytes   int  // length of its description while it waits for its answer
 	answerBy    Time // when its client stops waiting; 0: it expects no answer
 }
 
-// pendingEnd is the encoded end of a session, waiting for a connection until it expires.
-type pendingEnd struct {
-	bytes     []byte
-	expiresAt Time
-}
-
 // noLimit stands for a limit that is not set.
 const noLimit = math.MaxInt / 2
 
@@ -141,9 +147,10 @@
 		}
 	}
 	p := &Protocol{cfg: cfg, classes: map[string]int{}, conns: map[uint64]*client{}, sessions: map[uint64]*session{},
-		pendingEnds: map[uint64]pendingEnd{}, pendingRestores: map[uint64]pendingRestore{},
-		restored: restoredSessions{},
-		recent:   map[uint64]Time{}, maxConns: math.MaxInt}
+		lost: map[netip.Addr]*group{}, pendingEnds: map[uint64]*pendingEnd{}, unconfirmed: map[uint64]*client{},
+		pendingRestores: map[uint64]pendingRestore{},
+		restored:        restoredSessions{},
+		recent:          map[uint64]Time{}, maxConns: math.MaxInt}
 	for i, name := range cfg.Classes {
 		p.classes[name] = i
 	}
@@ -157,6 +164,18 @@
 	return effects, events
 }
 
+// establish counts a session as established on a connection.
+func (p *Protocol) establish(s *session, c *client) {
+	s.established, s.group = true, c.group
+	c.established++
+	p.addStanding(s.group)
+}
+
+// servesSessions reports whether the ends of established sessions are sent on a connection.
+func (c *client) servesSessions() bool {
+	return c.established > 0 || c.validLines > 0 && c.group.standing > 0
+}
+
 // forget removes a session; its id is kept in recent.
 func (p *Protocol) forget(sid uint64) {
 	s := p.sessions[sid]
@@ -167,6 +186,9 @@
 	delete(p.pendingRestores, sid)
 	p.restored.remove(s.conn, sid)
 	p.releaseText(s)
+	if s.established {
+		p.removeStanding(s.group)
+	}
 	if c := p.conns[s.conn]; c != nil {
 		delete(c.openRequests, sid)
 		if s.established {
--- a/internal/standin/platformsim/viewers.go
+++ b/internal/standin/platformsim/viewers.go
@@ -101,6 +101,11 @@
 	return v.Write(OpenLine(sid, class, timeLeft, ""))
 }
 
+// Probe sends a test. The answer shows that the lines before it were handled.
+func (v *Viewer) Probe(sid uint64) error {
+	return v.Write(fmt.Sprintf(`{"msg":"probe","sid":"%016x","attrs":{},"code":0}`+"\n", sid))
+}
+
 // Cancel cancels a request, or ends a session.
 func (v *Viewer) Cancel(sid uint64) error {
 	v.mu.Lock()
@@ -117,3 +122,9 @@
 	v.conn.Close()
 	<-v.Closed
 }
+
+// Reset resets the connection, as a break in the network does, and waits until reading has stopped.
+func (v *Viewer) Reset() {
+	v.conn.(*net.TCPConn).SetLinger(0)
+	v.Close()
+}
--- a/internal/transport/poll.go
+++ b/internal/transport/poll.go
@@ -26,6 +26,16 @@
 // UnreadBytes returns the number of bytes that have arrived on a connection and were not read.
 func UnreadBytes(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) }
 
+// UnackedBytes returns the number of bytes written to a connection that its peer's system has not acknowledged; 0 if that is
+// not known.
+func UnackedBytes(fd int) int {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // Peek copies unread input into b without consuming it and returns the number of bytes.
 func Peek(fd int, b []byte) int {
 	n, _, err := syscall.Recvfrom(fd, b, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
