A new rung whose connection is lost at once is sent to its server again

The server went on at the old rate, the front counted with the new one, until the session's end.

Cause: sendRung clears rungPending when the bytes are handed to the connection; removeConn repeated releases and unsent set-ups, but no rungs.

Change: a rung is sent again on the next connection if its own ends within 1 s of it. The message sets a state, so a repeated one changes nothing. TestSendsRungAgainIfItsConnectionIsLostAtOnce failed before (with the call left out: nothing written on the next connection). State machine only; not forced on real connections.

--- a/internal/platform/servers/connections.go
+++ b/internal/platform/servers/connections.go
@@ -255,6 +255,7 @@
 		}
 	}
 	p.requeueReleases(remote, c)
+	p.repeatRungs(remote, c)
 	for _, id := range sorted(c.probes) {
 		p.events = append(p.events, front.Probed{Server: remote.server, Status: policy.ConnReset,
 			Took: p.now - c.probes[id]})
--- a/internal/platform/servers/connections_test.go
+++ b/internal/platform/servers/connections_test.go
@@ -51,6 +51,25 @@
 	r.checkEmpty()
 }
 
+// Guards against a session that goes on at another rate than the front counts with: its new rung was sent on a connection
+// that was reset at once, and the server never had it. Once it must have arrived it is not sent again.
+func TestSendsRungAgainIfItsConnectionIsLostAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		lostAfter Time
+		want      []wire.Type
+	}{{rungArrivalTime / 2, []wire.Type{wire.Level}}, {rungArrivalTime + 50*ms, nil}} {
+		r := newRig(t)
+		conn := r.startSession(5)
+		r.do(front.SetRung{Session: 5, Server: 1, Rung: 1})
+		r.checkWritten(conn, wire.SetUp, wire.Level)
+		r.advance(c.lostAfter)
+		r.loseConn(conn, r.bytes[conn])
+		next := r.connect()
+		r.checkWritten(next, c.want...)
+		r.loseConn(next, r.bytes[next])
+	}
+}
+
 func TestReleasesSessionOnNextConnection(t *testing.T) {
 	r := newRig(t)
 	conn := r.startSession(5)
--- a/internal/platform/servers/servers.go
+++ b/internal/platform/servers/servers.go
@@ -112,11 +112,11 @@
 // Of connections: Lost by a close of the other side, Spoilt by an invalid message, Stuck with an incomplete one. Of
 // set-ups: Late answers after the abandon, Again those that waited for a second connection, Uncertain those whose
 // connection ended before their answer. Releases counts the releases written, Repeated those written once more because
-// the connection of the one before had ended.
+// the connection of the one before had ended, RungsRepeated the same of rungs.
 type Stats struct {
 	Dialed, Crowded, Refused, Unanswered, Broke, Lost, Spoilt, Stuck, Late, Again uint64
 
-	Uncertain, Releases, Repeated uint64
+	Uncertain, Releases, Repeated, RungsRepeated uint64
 
 	Tests, Reports, Shorts uint64 // probes sent, reports read, notes of short delivery
 
@@ -172,7 +172,9 @@
 	retried     bool   // its first connection ended before it was sent
 	playing     bool
 	ended       bool
-	rungPending bool // a rung change is not sent yet
+	rungPending bool  // a rung change is not sent yet
+	rungConn    *conn // connection that the last rung change was sent on
+	rungSentAt  Time
 }
 
 // New returns a Protocol without servers.
--- a/internal/platform/servers/sessions.go
+++ b/internal/platform/servers/sessions.go
@@ -5,6 +5,7 @@
 
 	"tealledge/internal/front"
 	"tealledge/internal/platform/wire"
+	"tealledge/policy"
 )
 
 // Established sessions: restored, moved, and set to another rung, now or on the next connection.
@@ -38,11 +39,33 @@
 
 // sendRung sends the rung of a session on the current connection.
 func (p *Protocol) sendRung(remote *peer, a *attempt) {
-	a.rungPending = false
+	a.rungPending, a.rungConn, a.rungSentAt = false, remote.current, p.now
 	p.send(remote, remote.current, (&wire.Message{Type: wire.Level, Session: a.setup.Session}).Add(wire.ParamRung,
 		strconv.Itoa(a.setup.Rung)))
 }
 
+// rungArrivalTime is the time after which a server must have received a rung on a connection that is still open.
+const rungArrivalTime = policy.Second
+
+// repeatRungs lets rungs be sent again that a server may not have received before a connection ended.
+func (p *Protocol) repeatRungs(remote *peer, ended *conn) {
+	for _, id := range sorted(remote.sessions) {
+		a := remote.sessions[id]
+		if a.rungConn != ended {
+			continue
+		}
+		a.rungConn = nil
+		if p.now-a.rungSentAt >= rungArrivalTime {
+			continue
+		}
+		p.Stats.RungsRepeated++
+		a.rungPending = true
+		if remote.current != nil {
+			p.sendRung(remote, a)
+		}
+	}
+}
+
 // Restore takes over a session that already plays at a server.
 func (p *Protocol) Restore(now Time, e front.Setup) bool {
 	p.now = now
