A session that is handed over again stays with its client

What callers saw: a client that had handed over a session was never told of its end.

Cause: viewers.restoreAgain moved a held session to the connection of any later hand-over.

Evidence: with each hand-over and end traced, the session moved from connection 4 over seven bad ones to 49, while 4 stayed open.

Change: the session keeps its connection; up to four others on which it was handed over are told too if its own is lost. A confirmation of an end counts only from a connection that it was sent on and that may be its client's.

Tests: TestBadClientThatHandsOverAnotherSessionTakesNoEnd (real connections), TestEndIsNotTakenByClientThatHandsOverTheSameSession.

--- a/internal/platform/node/session_ends_test.go
+++ b/internal/platform/node/session_ends_test.go
@@ -132,6 +132,34 @@
 	x.stopAll()
 }
 
+// Guards against a bad client that hands over the session of another one and is told of its end in that one's place, also
+// if the other one loses its connection later.
+func TestBadClientThatHandsOverAnotherSessionTakesNoEnd(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		x := newTestFront(t, 1024)
+		v, bad := x.viewer(), x.viewer()
+		x.probe(v)
+		x.probe(bad)
+		sid, _ := x.open(v, "paid")
+		server := x.serverOf(sid)
+		bad.Write(platformsim.OpenLine(sid, "paid", time.Second, ";at:"+server.Name()))
+		x.probe(bad)
+		if lost {
+			time.Sleep(100 * time.Millisecond)
+			v.Reset()
+			x.waitFor("the loss is noticed", func() bool { return x.snapshot().Conns == 1 })
+			v = x.viewer()
+			x.probe(v)
+		}
+		server.EndSession(sid, wire.CauseEnded)
+		endedAt := time.Now()
+		if l := x.lineFor(v, sid); l.Msg != wire.LineClose || time.Since(endedAt) > endTimeout {
+			t.Errorf("connection lost %v: %+v after %v", lost, l, time.Since(endedAt))
+		}
+		x.stopAll()
+	}
+}
+
 // Guards against an end that is sent on a connection that no longer delivers: its client reads nothing, loses the
 // connection and connects again.
 func TestEndThatDidNotArriveIsSentOnNextConnection(t *testing.T) {
--- a/internal/platform/viewers/ends.go
+++ b/internal/platform/viewers/ends.go
@@ -56,13 +56,18 @@
 		return
 	}
 	end := &pendingEnd{bytes: p.format(&line), group: s.group.current(), lostConn: s.conn, expiresAt: p.now + pendingEndTTL}
-	if c := p.conns[s.conn]; c != nil && !c.closed {
+	if p.isOpen(s.conn) {
 		p.forget(sid)
-		p.writeEnd(c, sid, end, false)
+		p.writeEnd(p.conns[s.conn], sid, end, false)
 		return
 	}
 	p.addPendingEnd(sid, end)
 	p.forget(sid)
+	for _, conn := range s.claims {
+		if p.isOpen(conn) {
+			p.writeEnd(p.conns[conn], sid, end, true)
+		}
+	}
 	p.deliverEnd(sid, end, p.replacements(end.group), p.otherConn)
 }
 
@@ -227,9 +232,11 @@
 }
 
 // confirmEnd handles a client's confirmation that it has received the end of a session. Only the oldest ends of its
-// connection are searched: the confirmation is voluntary.
+// connection are searched: the confirmation is voluntary. Other clients' confirmations are ignored.
 func (p *Protocol) confirmEnd(c *client, sid uint64) {
-	p.removePendingEnd(sid)
+	if end := p.pendingEnds[sid]; end != nil && slices.Contains(end.sentOn, c.id) && end.group.current() == c.group {
+		p.removePendingEnd(sid)
+	}
 	oldest := c.unconfirmed[:min(len(c.unconfirmed), maxConfirmable)]
 	if i := slices.IndexFunc(oldest, func(sent sentEnd) bool { return sent.sid == sid }); i >= 0 {
 		c.unconfirmed = slices.Delete(c.unconfirmed, i, i+1)
--- a/internal/platform/viewers/ends_test.go
+++ b/internal/platform/viewers/ends_test.go
@@ -173,3 +173,39 @@
 		t.Errorf("%d ends pending, %d groups, %d unconfirmed", pending, len(r.p.lost), r.p.unconfirmedEnds)
 	}
 }
+
+// Guards against the end of a session that is sent only to another client, which has handed over the same session again.
+func TestEndIsNotTakenByClientThatHandsOverTheSameSession(t *testing.T) {
+	r := newRig(t)
+	r.p.SetMaxConns(10)
+	r.clientSends(1, restoreLine(5, "s-7"), restoreLine(6, "s-7"))
+	r.advance(policy.Second)
+	for conn := uint64(2); conn < 8; conn++ {
+		r.accept(conn)
+		r.clientSends(conn, restoreLine(5, "s-7"), restoreLine(6, "s-7"))
+	}
+	r.endSession(5)
+	if r.endsOn(1, 5) != 1 {
+		t.Error("its own client was not told")
+	}
+	r.advance(policy.Second)
+	r.lose(1)
+	r.clientSends(2, restoreLine(6, "s-7"))
+	r.accept(9)
+	r.clientSends(9, probeLine())
+	r.endSession(6)
+	if r.endsOn(9, 6) != 1 || r.endsOn(2, 6) != 1 {
+		t.Errorf("sent %d times on its client's new connection, %d on one that handed it over again, want once each",
+			r.endsOn(9, 6), r.endsOn(2, 6))
+	}
+	for conn := uint64(3); conn < 8; conn++ {
+		r.clientSends(conn, `{"msg":"closed","sid":"0000000000000006","attrs":{}}`)
+	}
+	r.lose(9)
+	r.accept(10)
+	r.clientSends(10, probeLine())
+	r.advance(50 * ms)
+	if r.endsOn(10, 6) != 1 {
+		t.Error("not sent again after a confirmation of another client")
+	}
+}
--- a/internal/platform/viewers/requests.go
+++ b/internal/platform/viewers/requests.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -115,28 +116,42 @@
 	}
 }
 
-// restoreAgain handles a request to restore a session that is already held: it moves to the connection of the
-// request. If the session has ended, the reply says so. Treated as a second request with the same id, an established
-// session would be reported as ended.
+// restoreAgain handles a request to restore a session that is already held. Its end is sent on the connection of the
+// request too if the session's own is lost, but the session is not moved there: the request may be another client's. If
+// the session has ended, the reply says so. Treated as a second request with the same id, an established session would be
+// reported as ended.
 func (p *Protocol) restoreAgain(c *client, sid uint64, s *session) {
 	p.handleValidLine(c)
-	if s == nil {
-		reply := p.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseReset})
-		if pending, found := p.pendingEnds[sid]; found { // its end was waiting for a connection
-			reply = pending.bytes
-			p.removePendingEnd(sid)
-		}
-		p.send(c, reply)
+	if s != nil {
+		p.addClaim(s, c)
 		return
 	}
-	if old := p.conns[s.conn]; old != nil {
-		old.established--
+	reply := p.format(&wire.Line{Msg: wire.LineClose, Sid: sid, Code: wire.CauseReset})
+	if end := p.pendingEnds[sid]; end != nil && !slices.Contains(end.sentOn, c.id) {
+		reply = end.bytes
+		end.sentOn = append(end.sentOn, c.id)
 	}
-	p.restored.remove(s.conn, sid)
-	p.restored.add(c.id, sid)
-	p.removeStanding(s.group)
-	s.conn = c.id
-	p.establish(s, c)
+	p.send(c, reply)
+}
+
+// maxClaims bounds the connections on which a session was handed over again.
+const maxClaims = 4
+
+// addClaim records that a session was handed over again on a connection. Of many, the oldest open ones count.
+func (p *Protocol) addClaim(s *session, c *client) {
+	if c.id == s.conn || slices.Contains(s.claims, c.id) {
+		return
+	}
+	s.claims = slices.DeleteFunc(s.claims, func(conn uint64) bool { return !p.isOpen(conn) })
+	if len(s.claims) < maxClaims {
+		s.claims = append(s.claims, c.id)
+	}
+}
+
+// isOpen reports whether a connection is open.
+func (p *Protocol) isOpen(conn uint64) bool {
+	c := p.conns[conn]
+	return c != nil && !c.closed
 }
 
 // Limits on the numbers in a request; larger ones are invalid on this platform.
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -132,8 +132,9 @@
 	conn        uint64
 	group       *group // of its client; set once it is established
 	established bool
-	openBytes   int  // length of its description while it waits for its answer
-	answerBy    Time // when its client stops waiting; 0: it expects no answer
+	claims      []uint64 // connections on which it was handed over again
+	openBytes   int      // length of its description while it waits for its answer
+	answerBy    Time     // when its client stops waiting; 0: it expects no answer
 }
 
 // noLimit stands for a limit that is not set.
