--- a/internal/platform/viewers/ends.go
+++ b/internal/platform/viewers/ends.go
@@ -136,7 +136,7 @@
 			p.writeEnd(c, sid, end, false)
 		}
 	}
-	if replaced && end.group.missing == 0 {
+	if replaced && !end.group.incomplete(p.now) {
 		p.removePendingEnd(sid)
 		return
 	}
@@ -147,13 +147,15 @@
 	}
 }
 
-// replacements returns the connections of a group, at most maxEndCopies: those that were used first, then the newest.
+// replacements returns the connections of a group, the likeliest replacements of a lost one first: those that were used,
+// then those without invalid lines, then the oldest.
 func (p *Protocol) replacements(g *group) []*client {
 	list := slices.Clone(g.conns)
 	slices.SortFunc(list, func(a, b *client) int {
-		return cmp.Or(cmp.Compare(min(b.validLines, 1), min(a.validLines, 1)), cmp.Compare(b.id, a.id))
+		return cmp.Or(cmp.Compare(min(b.validLines, 1), min(a.validLines, 1)),
+			cmp.Compare(min(a.badLines, 1), min(b.badLines, 1)), cmp.Compare(a.id, b.id))
 	})
-	return list[:min(len(list), maxEndCopies)]
+	return list
 }
 
 // blockedOn reports whether the end was sent on a connection and did not arrive.
--- a/internal/platform/viewers/groups.go
+++ b/internal/platform/viewers/groups.go
@@ -10,15 +10,18 @@
 // Clients across their connections. A session belongs to no connection: if its client's is lost, its end must be sent on
 // the one that replaces it. The host and the order of losses and connects are all that tells whose a connection is.
 
-// crossingTime is how much later than its replacement the loss of a connection may be noticed.
-const crossingTime = 50 * policy.Millisecond
+// Durations of the change from a lost connection to its replacement.
+const (
+	crossingTime = 50 * policy.Millisecond // how much later than the replacement the loss may be noticed
+	joinTime     = 2 * policy.Second       // after a loss, further connections may replace it for this long
+)
 
 // group is a client across its connections, or several clients of one host that can't be told apart because they have lost
 // theirs at the same time.
 type group struct {
 	host     netip.Addr
 	conns    []*client // open connections of its clients, as far as is known
-	missing  int       // connections that were lost while sessions stood, and that no used one has replaced
+	missing  int       // connections that were lost while sessions stood, less the used ones that came since
 	lostAt   Time      // when the last one was lost
 	standing int       // established sessions, and ends that wait for a connection
 	merged   *group    // the group that it has become a part of
@@ -44,9 +47,17 @@
 	other.conns, other.merged = nil, g
 }
 
+// incomplete reports whether a new connection may be one of its clients'.
+func (g *group) incomplete(now Time) bool { return g.missing > 0 || now-g.lostAt < joinTime }
+
 // join gives a new connection its group: that of its host which lacks a connection, or a new one.
 func (p *Protocol) join(c *client, host netip.Addr) {
-	if g := p.lost[host]; g != nil {
+	g := p.lost[host]
+	if g != nil && !g.incomplete(p.now) {
+		delete(p.lost, host)
+		g = nil
+	}
+	if g != nil {
 		c.group, c.replaces = g, true
 		g.conns = append(g.conns, c)
 		return
@@ -57,14 +68,12 @@
 // newGroup returns the group of one connection.
 func newGroup(host netip.Addr, c *client) *group { return &group{host: host, conns: []*client{c}} }
 
-// handleValidLine counts a valid line. The first one shows that a connection has replaced a lost one: idle connections
-// must not.
+// handleValidLine counts a valid line. The first one shows that a connection may have replaced a lost one: idle
+// connections do not.
 func (p *Protocol) handleValidLine(c *client) {
 	c.validLines++
-	if g := c.group; c.validLines == 1 && c.replaces && g.missing > 0 {
-		if g.missing--; g.missing == 0 {
-			delete(p.lost, g.host)
-		}
+	if c.validLines == 1 && c.replaces && c.group.missing > 0 {
+		c.group.missing--
 	}
 }
 
@@ -82,7 +91,7 @@
 	}
 	g.missing++
 	g.lostAt = p.now
-	if lost := p.lost[g.host]; lost != nil && lost != g {
+	if lost := p.lost[g.host]; lost != nil && lost != g && lost.incomplete(p.now) {
 		g.merge(lost)
 	}
 	p.lost[g.host] = g
