A session that is handed over again after its end is not held as a new one

What callers saw: nothing in service so far; in the state machine, a client is told that a session is over that the front then holds for ever.

Cause: ids of ended sessions were kept for 5 s, while ends wait up to 8 s for a connection. A hand-over in between started the session again, and the waiting end was sent after it.

The new test forces the order and failed before: one session held, its client told of the end.

Change: ids are kept 1 s longer than ends wait.

That it was this fault is not shown.

--- a/internal/platform/viewers/ends_test.go
+++ b/internal/platform/viewers/ends_test.go
@@ -209,3 +209,20 @@
 		t.Error("not sent again after a confirmation of another client")
 	}
 }
+
+// Guards against a session that is handed over again after its end, before its client could be told: it was taken for a new
+// one, reported as over, and held for ever.
+func TestSessionHandedOverAfterItsEndIsNotHeldAgain(t *testing.T) {
+	r := newRig(t)
+	r.clientSends(1, restoreLine(5, "s-7"))
+	r.lose(1)
+	r.endSession(5)
+	r.events = nil
+	r.advance(pendingEndTTL - 500*ms)
+	r.accept(2)
+	r.clientSends(2, restoreLine(5, "s-7"))
+	r.advance(policy.Second)
+	if _, held, _, _ := r.p.Counts(); held != 0 || len(r.events) != 0 || r.endsOn(2, 5) != 1 {
+		t.Errorf("%d sessions held, events %+v, told %d times; want none and once", held, r.events, r.endsOn(2, 5))
+	}
+}
--- a/internal/platform/viewers/viewers.go
+++ b/internal/platform/viewers/viewers.go
@@ -36,9 +36,10 @@
 	OutputArrived      func(conn uint64) bool      // whether all output has arrived at the client's machine; nil: always
 }
 
-// The ids of ended sessions are kept for recentTTL, so that messages that cross the end are not rejected as invalid.
+// The ids of ended sessions are kept for recentTTL, so that messages that cross the end are not rejected as invalid, and a
+// session that is handed over again is not taken for a new one while its end may still be sent.
 const (
-	recentTTL = 5 * policy.Second
+	recentTTL = pendingEndTTL + policy.Second
 	maxRecent = 8192
 )
 
