Unread ends of a client that floods are not sent on the connections of others

Cause, found in the state line (577 ends owed, 4,288 sessions adopted, 2 connections) and by reading: ends that do not arrive within 500 ms were sent on another connection. A bad client that hands over thousands of sessions and is told of thousands of ends has its output unread for that long while it goes on sending, so its ends went to the viewer.

Change: an end that does not arrive is sent elsewhere only if nothing was received from its connection since; the unread ends of a connection that is lost with over 64 of them go only to the one that replaces it. A client that is cut off sends nothing, so it is still told on its next connection.

--- a/internal/platform/viewers/ends.go
+++ b/internal/platform/viewers/ends.go
@@ -18,12 +18,17 @@
 // maxConfirmable is the number of ends on a connection that its client can confirm.
 const maxConfirmable = 64
 
+// maxRepeatedElsewhere is the number of unread ends of a lost connection up to which they are sent to other clients, if its
+// own does not connect again: a client that leaves hundreds unread must not fill the connections of others.
+const maxRepeatedElsewhere = 64
+
 // Durations of sending ends.
 const (
 	pendingEndTTL = 8 * policy.Second // how long an end is sent again, or waits for a connection
 	// confirmTime is how long a connection must stay open after an end has arrived at the client's machine.
 	confirmTime = 250 * policy.Millisecond
-	// arrivalTimeout is the time after which an end that has not arrived at the client's machine is sent elsewhere.
+	// arrivalTimeout is the time after which an end that has not arrived at the client's machine is sent elsewhere, if
+	// nothing comes from there either.
 	arrivalTimeout = 500 * policy.Millisecond
 	// replacementTime is how long a lost connection's replacement is waited for before an end is sent elsewhere.
 	replacementTime = 250 * policy.Millisecond
@@ -37,6 +42,7 @@
 	expiresAt Time
 	sentOn    []uint64 // connections on which it was sent, which may not be its client's
 	blocked   []uint64 // connections on which it was sent and not read
+	ownOnly   bool     // it is sent on the connections of its group only
 }
 
 // sentEnd is an end that was sent, but may not have been read yet.
@@ -140,7 +146,7 @@
 		p.removePendingEnd(sid)
 		return
 	}
-	if len(end.sentOn) == 0 && p.now-end.group.lostAt >= replacementTime {
+	if len(end.sentOn) == 0 && !end.ownOnly && p.now-end.group.lostAt >= replacementTime {
 		if c := otherConn(end); c != nil {
 			p.writeEnd(c, sid, end, true)
 		}
@@ -218,7 +224,7 @@
 			}
 			switch {
 			case sent.arrivedAt != 0 && p.now-sent.arrivedAt >= confirmTime:
-			case sent.arrivedAt == 0 && p.now-sent.sentAt >= arrivalTimeout:
+			case sent.arrivedAt == 0 && p.now-sent.sentAt >= arrivalTimeout && c.lastReceivedAt <= sent.sentAt:
 				p.repeatEnd(c, sent)
 			default:
 				waiting = append(waiting, sent)
@@ -248,7 +254,9 @@
 
 // repeatUnconfirmed sends the ends again that a connection's client may not have read when the connection ended.
 func (p *Protocol) repeatUnconfirmed(c *client) {
+	flood := len(c.unconfirmed) > maxRepeatedElsewhere
 	for _, sent := range c.unconfirmed {
+		sent.end.ownOnly = sent.end.ownOnly || flood
 		p.repeatEnd(c, sent)
 	}
 	p.unconfirmedEnds -= len(c.unconfirmed)
--- a/internal/platform/viewers/ends_test.go
+++ b/internal/platform/viewers/ends_test.go
@@ -226,3 +226,34 @@
 		t.Errorf("%d sessions held, events %+v, told %d times; want none and once", held, r.events, r.endsOn(2, 5))
 	}
 }
+
+// Guards against a client that leaves its output unread while it sends on, or goes with hundreds of ends unread: they
+// filled the connections of other clients.
+func TestUnreadEndsOfFloodAreNotSentToOthers(t *testing.T) {
+	r := newRig(t)
+	r.p.SetMaxConns(10)
+	r.accept(2)
+	r.clientSends(2, probeLine())
+	r.p.cfg.OutputArrived = func(conn uint64) bool { return conn != 1 }
+	const sessions = maxRepeatedElsewhere + 1
+	for sid := uint64(100); sid < 100+sessions; sid++ {
+		r.clientSends(1, restoreLine(sid, "s-7"))
+		r.endSession(sid)
+	}
+	for range 10 {
+		r.advance(arrivalTimeout / 2)
+		r.clientSends(1, probeLine())
+	}
+	r.advance(policy.Second)
+	r.lose(1)
+	r.advance(policy.Second)
+	told := 0
+	for _, l := range r.written[2] {
+		if l.Msg == wire.LineClose {
+			told++
+		}
+	}
+	if told != 0 {
+		t.Errorf("another client was told of %d ends, want none", told)
+	}
+}
