Groups of connections that were lost are not held with the oldest session

Cause, found by reading the change again: when a connection was lost while its host's last lost group was incomplete, the older group became a part of the newer one. The group of the oldest session then referred to those of all losses since, and a client that connects, hands over a session and leaves, again and again, grew memory without end.

Change: the newer group becomes a part of the older one; group.current shortens the way. TestLostConnectionsDoNotAccumulate failed before.

--- a/internal/platform/viewers/groups.go
+++ b/internal/platform/viewers/groups.go
@@ -30,6 +30,9 @@
 // current returns the group that this one has become a part of, or itself.
 func (g *group) current() *group {
 	for g.merged != nil {
+		if next := g.merged.merged; next != nil {
+			g.merged = next
+		}
 		g = g.merged
 	}
 	return g
@@ -92,7 +95,8 @@
 	g.missing++
 	g.lostAt = p.now
 	if lost := p.lost[g.host]; lost != nil && lost != g && lost.incomplete(p.now) {
-		g.merge(lost)
+		lost.merge(g) // the other way round, the groups of all past losses would be held with the oldest session
+		g = lost
 	}
 	p.lost[g.host] = g
 	p.mergeCrossing(g, c)
