Revert "Groups of connections that were lost are not held with the oldest session"

The growth that it names does not happen: a connection that is accepted while a group is incomplete joins that group, so only groups of connections that were open before can be merged, as many as these at most.

--- a/internal/platform/viewers/ends_test.go
+++ b/internal/platform/viewers/ends_test.go
@@ -257,26 +257,3 @@
 		t.Errorf("another client was told of %d ends, want none", told)
 	}
 }
-
-// Guards against memory that grows with each connection that is lost: the group of each loss was held by the one before, and
-// so by the oldest session of the host.
-func TestLostConnectionsDoNotAccumulate(t *testing.T) {
-	r := newRig(t)
-	r.establish(1, 5)
-	oldest := r.p.sessions[5].group
-	r.lose(1)
-	for conn := uint64(10); conn < 1000; conn++ {
-		r.accept(conn)
-		r.clientSends(conn, restoreLine(conn, "s-7"))
-		r.lose(conn)
-		r.endSession(conn)
-		r.advance(50 * ms)
-	}
-	depth := 0
-	for g := oldest; g.merged != nil; g = g.merged {
-		depth++
-	}
-	if depth > 2 || len(oldest.current().conns) > 0 {
-		t.Errorf("%d groups and %d connections held with the oldest session", depth, len(oldest.current().conns))
-	}
-}
--- a/internal/platform/viewers/groups.go
+++ b/internal/platform/viewers/groups.go
@@ -30,9 +30,6 @@
 // current returns the group that this one has become a part of, or itself.
 func (g *group) current() *group {
 	for g.merged != nil {
-		if next := g.merged.merged; next != nil {
-			g.merged = next
-		}
 		g = g.merged
 	}
 	return g
@@ -95,8 +92,7 @@
 	g.missing++
 	g.lostAt = p.now
 	if lost := p.lost[g.host]; lost != nil && lost != g && lost.incomplete(p.now) {
-		lost.merge(g) // the other way round, the groups of all past losses would be held with the oldest session
-		g = lost
+		g.merge(lost)
 	}
 	p.lost[g.host] = g
 	p.mergeCrossing(g, c)
